--- /dev/null
+++ b/filbertshelf/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load and the comparison of policies."""
--- /dev/null
+++ b/filbertshelf/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, a thin layer over the library."""
--- /dev/null
+++ b/filbertshelf/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that run an instance."""
--- /dev/null
+++ b/filbertshelf/errors.py
@@ -0,0 +1,202 @@
+"""The exception tree; each kind names its remedy."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+
+class FilbertshelfError(Exception):
+    """Base of all errors raised by this package."""
+
+    code = "internal"
+    status = 500
+    exit_code = 70
+
+
+class UserError(FilbertshelfError):
+    """An error that a person can mend; the message ends with the remedy."""
+
+    code = "invalid"
+    status = 400
+    exit_code = 64
+
+    def __init__(self, message: str, remedy: str):
+        super().__init__(f"{message}: {remedy}")
+        self.message = message
+        self.remedy = remedy
+
+
+@attrs.frozen
+class Problem:
+    """One fault in a settings file or a publication."""
+
+    where: str
+    value: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.where} = {self.value!r}: {self.message}; {self.remedy}"
+
+
+class CheckError(UserError):
+    """A document has one or more faults; `problems` lists them all."""
+
+    subject = "document"
+
+    def __init__(self, problems: Sequence[Problem]):
+        self.problems = tuple(problems)
+        listing = "\n  ".join(str(problem) for problem in self.problems)
+        super().__init__(
+            f"the {self.subject} has {len(self.problems)} problem(s)\n  {listing}\n",
+            f"correct each of them and check the {self.subject} again",
+        )
+
+
+class SettingsError(CheckError):
+    """The INI settings are not valid."""
+
+    subject = "settings file"
+    exit_code = 65
+
+
+class PublicationError(CheckError):
+    """The published configuration is not valid."""
+
+    subject = "publication"
+    exit_code = 66
+
+
+class SelectorError(UserError):
+    """A selector does not follow the grammar."""
+
+    code = "bad_selector"
+    exit_code = 67
+
+
+class RequestError(UserError):
+    """A caller's request is malformed; it did not run."""
+
+    code = "bad_request"
+
+
+class ContentTypeError(RequestError):
+    """The request body is not JSON by its content type."""
+
+    code = "bad_content_type"
+    status = 415
+
+
+class BodyTooLargeError(RequestError):
+    """The request body is over the limit."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class NoPolicyError(RequestError):
+    """No policy matches the request's labels."""
+
+    code = "no_policy"
+    status = 404
+
+
+class NoServiceError(RequestError):
+    """The matching policy selects no service."""
+
+    code = "no_service"
+    status = 404
+
+
+class RefusedError(UserError):
+    """The request was refused before anything was sent; it did not run."""
+
+    code = "refused"
+    status = 503
+
+
+class NotReadyError(RefusedError):
+    """The instance has no confirmed configuration."""
+
+    code = "not_ready"
+
+
+class OverloadedError(RefusedError):
+    """Admission control refused the request."""
+
+    code = "overloaded"
+    status = 429
+
+
+class RateLimitError(RefusedError):
+    """The fleet-wide rate limit of the policy is used up."""
+
+    code = "rate_limited"
+    status = 429
+
+
+class StoppingError(RefusedError):
+    """The instance is shutting down."""
+
+    code = "stopping"
+
+
+class QuarantinedError(RefusedError):
+    """The request's fingerprint is in quarantine because it crashed targets."""
+
+    code = "quarantined"
+    status = 422
+
+
+class TicketError(RequestError):
+    """A ticket is missing, forged, or used with another body."""
+
+    code = "bad_ticket"
+
+
+class TicketRequiredError(TicketError):
+    """A booking came without a ticket."""
+
+    code = "ticket_required"
+    status = 428
+
+
+class ProtocolError(FilbertshelfError):
+    """A peer broke the protocol between instances."""
+
+    code = "protocol"
+
+
+class HandshakeError(ProtocolError):
+    """A peer has another key or no common protocol version."""
+
+    code = "handshake"
+
+
+class MessageError(ProtocolError):
+    """A message can't be decoded."""
+
+    code = "bad_message"
+
+
+class PeerUnreachableError(FilbertshelfError):
+    """A peer did not take the message; nothing was delivered."""
+
+    code = "peer_unreachable"
+    status = 503
+
+
+class PeerTimeoutError(FilbertshelfError):
+    """A peer took the message, but no reply came in time."""
+
+    code = "peer_timeout"
+    status = 504
+
+
+class PlatformError(FilbertshelfError):
+    """The configuration service or the instance list can't be read."""
+
+    code = "platform"
+    status = 503
--- /dev/null
+++ b/filbertshelf/events.py
@@ -0,0 +1,195 @@
+"""The numbered events; one eliot message for each decision."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+from eliot import log_message
+
+
+class Level(enum.Enum):
+    """How much attention an event needs."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@attrs.frozen
+class Event:
+    """One kind of event: its number, name, level, summary and field names."""
+
+    number: int
+    name: str
+    level: Level
+    summary: str
+    fields: tuple[str, ...]
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def define(
+    number: int, name: str, summary: str, *fields: str, level: Level = Level.INFO
+) -> Event:
+    """Add an event to the catalogue and return it.
+
+    Raises `ValueError` if the number or the name is taken.
+    """
+    taken = {event.name for event in CATALOGUE.values()}
+    if number in CATALOGUE or name in taken:
+        raise ValueError(f"event {number} {name!r} is defined twice")
+    event = Event(number, name, level, summary, fields)
+    CATALOGUE[number] = event
+    return event
+
+
+def emit(event: Event, **fields: object) -> None:
+    """Write one log line for the event.
+
+    Raises `ValueError` if a field is not in the event's catalogue entry.
+    """
+    unknown = fields.keys() - set(event.fields)
+    if unknown:
+        raise ValueError(f"event {event.name!r} has no field {sorted(unknown)}")
+    log_message(
+        message_type=f"filbertshelf:{event.name}",
+        event=event.number,
+        level=event.level.value,
+        **fields,
+    )
+
+
+# 1xx: life of an instance.
+STARTED = define(
+    100,
+    "instance-started",
+    "The instance accepts connections.",
+    "instance",
+    "incarnation",
+    "address",
+    "peer_address",
+    "data_centre",
+)
+READY = define(
+    101, "instance-ready", "The instance has a confirmed configuration.", "reason"
+)
+STOPPING = define(
+    102, "instance-stopping", "The instance refuses new requests.", "in_flight"
+)
+STOPPED = define(103, "instance-stopped", "All in-flight work has ended.", "in_flight")
+PAUSED = define(
+    104,
+    "pause-detected",
+    "The process did not run for longer than the threshold.",
+    "paused_s",
+    level=Level.WARNING,
+)
+
+# 2xx: requests and routing.
+REQUEST_REJECTED = define(
+    200,
+    "request-rejected",
+    "A malformed or refused request did not run.",
+    "request_id",
+    "caller",
+    "code",
+    "reason",
+    level=Level.WARNING,
+)
+POLICY_CHOSEN = define(
+    201,
+    "policy-chosen",
+    "The policy that won for the request's labels.",
+    "request_id",
+    "caller",
+    "policy",
+    "candidates",
+)
+PLANNED = define(
+    202,
+    "query-planned",
+    "The snapshot and the number of shards that the query is pinned to.",
+    "request_id",
+    "revision",
+    "snapshot",
+    "shards",
+    "replan",
+)
+REPLICA_CHOSEN = define(
+    203,
+    "replica-chosen",
+    "The target chosen for one shard of a request and why.",
+    "request_id",
+    "service",
+    "shard",
+    "target",
+    "attempt",
+    "reason",
+)
+ATTEMPT_FAILED = define(
+    204,
+    "attempt-failed",
+    "A sub-request gave no usable answer.",
+    "request_id",
+    "service",
+    "shard",
+    "target",
+    "result",
+    "reason",
+    level=Level.WARNING,
+)
+ANSWERED = define(
+    205,
+    "request-answered",
+    "The outcome of a request.",
+    "request_id",
+    "outcome",
+    "planned",
+    "answered",
+    "missing",
+    "elapsed_ms",
+    "sub_requests",
+)
+
+# 3xx: targets and placement.
+TARGET_ADDED = define(
+    300, "target-added", "A target joined the publication.", "target", "address"
+)
+TARGET_REMOVED = define(
+    301, "target-removed", "A target left the publication.", "target", "reason"
+)
+TARGET_DRAINING = define(
+    302, "target-draining", "The target gets no new work.", "target", "source"
+)
+
+# 4xx: configuration.
+CONFIG_ACCEPTED = define(
+    400,
+    "configuration-accepted",
+    "A new version of a document is in force.",
+    "document",
+    "revision",
+    "digest",
+    "source",
+)
+CONFIG_REFUSED = define(
+    401,
+    "configuration-refused",
+    "A publication was refused; the previous one stays.",
+    "document",
+    "revision",
+    "reason",
+    level=Level.ERROR,
+)
+PLATFORM_FAILED = define(
+    402,
+    "platform-unavailable",
+    "The platform can't be read; the last version stays in force.",
+    "reason",
+    level=Level.WARNING,
+)
+
+# Numbers 5xx (peers and membership), 6xx (bookings), 7xx (limits and admission)
+# and 8xx (quarantine) stand beside the code that emits them in this module.
--- /dev/null
+++ b/filbertshelf/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and their encodings."""
--- /dev/null
+++ b/filbertshelf/settings.py
@@ -0,0 +1,175 @@
+"""The INI settings of an instance, checked whole."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from filbertshelf.errors import Problem, SettingsError
+
+MIN_KEY_CHARS = 16
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    ipaddress.ip_address(host)
+    if not 0 <= number < 65_536:
+        raise ValueError("the port is out of range")
+    return host, number
+
+
+def _peers(text: str) -> tuple[tuple[str, int], ...]:
+    return tuple(_address(part.strip()) for part in text.split(",") if part.strip())
+
+
+def _optional_address(text: str) -> tuple[str, int] | None:
+    return _address(text) if text else None
+
+
+def _name(text: str) -> str:
+    if not text:
+        raise ValueError("the name is empty")
+    return text
+
+
+def _key(text: str) -> str:
+    if len(text) < MIN_KEY_CHARS:
+        raise ValueError("the key is too short")
+    return text
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 < value < 1e6:
+        raise ValueError("the number is out of range")
+    return value
+
+
+def _count(text: str) -> int:
+    value = int(text)
+    if not 0 < value <= 1_000_000:
+        raise ValueError("the number is out of range")
+    return value
+
+
+def _setting(
+    section: str, read: Callable[[str], Any], remedy: str, default: str | None
+) -> Any:
+    """Return a field with its INI section, converter, remedy and default text."""
+    metadata = {"section": section, "read": read, "remedy": remedy, "text": default}
+    if default is None:
+        return attrs.field(metadata=metadata)
+    return attrs.field(metadata=metadata, default=read(default))
+
+
+_ADDRESS = "write IP:PORT; port 0 lets the system choose"
+_SECONDS = "write a number of seconds above 0"
+_WHOLE = "write a whole number above 0"
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one instance; times are in seconds.
+
+    Raises nothing by itself; `load_settings` checks the text it reads.
+    """
+
+    name: str = _setting("instance", _name, "write a unique name", None)
+    data_centre: str = _setting("instance", _name, "write the data centre", None)
+    listen: tuple[str, int] = _setting("instance", _address, _ADDRESS, "127.0.0.1:0")
+    peer_listen: tuple[str, int] = _setting("peers", _address, _ADDRESS, "127.0.0.1:0")
+    fleet_key: str = _setting(
+        "peers", _key, f"write a secret of at least {MIN_KEY_CHARS} characters", None
+    )
+    peers: tuple[tuple[str, int], ...] = _setting(
+        "peers", _peers, "write IP:PORT, IP:PORT, ...", ""
+    )
+    probe_period: float = _setting("peers", _positive, _SECONDS, "1.0")
+    probe_timeout: float = _setting("peers", _positive, _SECONDS, "0.3")
+    platform: tuple[str, int] = _setting("platform", _address, _ADDRESS, None)
+    watch_wait: float = _setting("platform", _positive, _SECONDS, "10.0")
+    start_grace: float = _setting("platform", _positive, _SECONDS, "5.0")
+    pause_threshold: float = _setting("limits", _positive, _SECONDS, "2.0")
+    drain_timeout: float = _setting("limits", _positive, _SECONDS, "30.0")
+    max_queries: int = _setting("limits", _count, _WHOLE, "256")
+    max_queued: int = _setting("limits", _count, _WHOLE, "1024")
+    ticket_lifetime: float = _setting("limits", _positive, _SECONDS, "600.0")
+    statsd: tuple[str, int] | None = _setting(
+        "metrics", _optional_address, "write IP:PORT or leave it empty", ""
+    )
+    log_file: str = _setting("logs", str, "write a path; empty means stderr", "")
+    ready_file: str = _setting(
+        "instance", str, "write a path for the bound addresses, or leave it empty", ""
+    )
+
+
+def load_settings(path: Path) -> Settings:
+    """Return the settings in the INI file.
+
+    Raises `SettingsError` with every problem in the file.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as exc:
+        problem = Problem("file", str(path), str(exc), "name a readable INI file")
+        raise SettingsError([problem]) from exc
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings in the INI text.
+
+    Raises `SettingsError` with every problem in the text.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as exc:
+        problem = Problem("file", "", str(exc), "write [section] and key = value lines")
+        raise SettingsError([problem]) from exc
+    problems = _unknown_keys(parser)
+    values: dict[str, Any] = {}
+    for field in attrs.fields(Settings):
+        _read_field(parser, field, values, problems)
+    if problems:
+        raise SettingsError(problems)
+    return Settings(**values)
+
+
+def _unknown_keys(parser: configparser.ConfigParser) -> list[Problem]:
+    known: dict[str, list[str]] = {}
+    for field in attrs.fields(Settings):
+        known.setdefault(field.metadata["section"], []).append(field.name)
+    problems = []
+    for section in parser.sections():
+        for key, value in parser[section].items():
+            if key not in known.get(section, ()):
+                allowed = ", ".join(known.get(section, ())) or "another section"
+                where = f"[{section}] {key}"
+                remedy = f"use one of {allowed}"
+                problems.append(Problem(where, value, "is unknown", remedy))
+    return problems
+
+
+def _read_field(
+    parser: configparser.ConfigParser,
+    field: attrs.Attribute,
+    values: dict[str, Any],
+    problems: list[Problem],
+) -> None:
+    meta = field.metadata
+    where = f"[{meta['section']}] {field.name}"
+    text = parser.get(meta["section"], field.name, fallback=meta["text"])
+    if text is None:
+        problems.append(Problem(where, "", "is missing", meta["remedy"]))
+        return
+    try:
+        values[field.name] = meta["read"](text.strip())
+    except ValueError as exc:
+        problems.append(Problem(where, text, str(exc), meta["remedy"]))
--- /dev/null
+++ b/filbertshelf/state/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and data of one instance, without I/O."""
--- /dev/null
+++ b/filbertshelf/state/outcome.py
@@ -0,0 +1,113 @@
+"""What became of an attempt, of a shard and of a whole request."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+
+class Result(enum.Enum):
+    """How one attempt at a target ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.Enum):
+    """Why an attempt gave no answer, or why a shard is missing."""
+
+    NONE = "none"
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+    OTHER_SNAPSHOT = "other_snapshot"
+    DRAINING = "draining"
+    OVERLOADED = "overloaded"
+    COLD = "cold"
+    BAD_RESPONSE = "bad_response"
+    TARGET_ERROR = "target_error"
+    NO_REPLICA = "no_replica"
+    NO_CAPACITY = "no_capacity"
+    RETRY_BUDGET = "retry_budget"
+    QUARANTINED = "quarantined"
+    PAUSED = "paused"
+
+
+class Outcome(enum.Enum):
+    """What a caller is told about a request."""
+
+    WHOLE = "whole"
+    PARTIAL = "partial"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Attempt:
+    """The end of one sub-request at one target; latency is in seconds."""
+
+    target: str
+    result: Result
+    reason: Reason = Reason.NONE
+    answer: Any = None
+    latency: float = 0.0
+
+
+@attrs.frozen
+class Missing:
+    """A planned shard without an answer and the reason."""
+
+    service: str
+    shard: str
+    reason: Reason
+
+
+@attrs.frozen
+class Coverage:
+    """How many planned shards the answer holds, and which it lacks."""
+
+    planned: int
+    answered: int
+    missing: tuple[Missing, ...] = ()
+
+    @property
+    def share(self) -> float:
+        """Return the answered share of the planned shards, 1.0 for an empty plan."""
+        return self.answered / self.planned if self.planned else 1.0
+
+
+def query_outcome(coverage: Coverage, attempts: Iterable[Attempt]) -> Outcome:
+    """Return the outcome of a query from its coverage and all its attempts.
+
+    A query that no attempt started is not run, also if its plan is not empty.
+    """
+    if not coverage.missing:
+        return Outcome.WHOLE
+    if coverage.answered:
+        return Outcome.PARTIAL
+    return without_answer(attempts)
+
+
+def without_answer(attempts: Iterable[Attempt]) -> Outcome:
+    """Return not run if each attempt is known not to have run, else unknown."""
+    known = all(attempt.result is Result.NOT_RUN for attempt in attempts)
+    return Outcome.NOT_RUN if known else Outcome.UNKNOWN
+
+
+@attrs.frozen
+class Answer:
+    """What a caller gets back for a request."""
+
+    request_id: str
+    outcome: Outcome
+    revision: int
+    snapshot: Mapping[str, Mapping[str, Any]]
+    coverage: Coverage
+    rows: tuple[Any, ...] = ()
+    reason: str = ""
+    sub_requests: int = 0
--- /dev/null
+++ b/filbertshelf/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets to callers, targets, peers and the platform."""
