--- /dev/null
+++ b/filbertshelf/coordination/platform_watch.py
@@ -0,0 +1,156 @@
+"""Reads and watches one document of the platform for the whole data centre."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.errors import PlatformError, PlatformMissingError
+from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.state.backoff import Backoff
+
+FIRST_RETRY_S = 0.25
+# A change must be in force within 8 s, also one that is published while the platform
+# comes back.
+HIGHEST_RETRY_S = 4.0
+# How often an instance looks whether it has become a watcher.
+ROLE_CHECK_S = 0.5
+
+
+class PlatformReader(Protocol):
+    """What is needed of the platform's client."""
+
+    async def read(self, document: str) -> PlatformDocument:
+        """Return the document; raises `PlatformError`."""
+
+    async def watch(
+        self, document: str, after: int, wait: float
+    ) -> PlatformDocument | None:
+        """Return the document above `after`, None after `wait` seconds."""
+
+
+@attrs.define
+class PlatformHealth:
+    """Logs the first failure of an outage and its end, not every attempt."""
+
+    failures: int = 0
+
+    def failed(self, exc: PlatformError) -> None:
+        """Record a call that failed."""
+        self.failures += 1
+        if self.failures == 1:
+            events.emit(events.PLATFORM_FAILED, reason=str(exc))
+
+    def answered(self) -> None:
+        """Record a call that was answered."""
+        if self.failures:
+            events.emit(events.PLATFORM_RECOVERED, failures=self.failures)
+        self.failures = 0
+
+
+@attrs.frozen
+class WatchOwner:
+    """What a watch asks and tells the service that it belongs to."""
+
+    watching: Callable[[], bool]
+    epoch: Callable[[], int]
+    held_revision: Callable[[str], int]
+    # Called with the document's name, the content if there is a new one, and the
+    # epoch in which the platform was asked.
+    answered: Callable[[str, PlatformDocument | None, int], None]
+
+
+class PlatformWatch:
+    """Watches one document while this instance is a watcher.
+
+    The first call of a watch is a read, also after a failure: a platform that lost
+    its state or another replica can hold a lower revision, which a watch doesn't show.
+    """
+
+    def __init__(
+        self,
+        document: str,
+        client: PlatformReader,
+        owner: WatchOwner,
+        clock: Clock,
+        rng: random.Random,
+        wait: float,
+    ):
+        """`wait` is the length of one watch in seconds."""
+        self.health = PlatformHealth()
+        self._document = document
+        self._client = client
+        self._owner = owner
+        self._clock = clock
+        self._backoff = Backoff(FIRST_RETRY_S, HIGHEST_RETRY_S, rng)
+        self._wait = wait
+        self._after: int | None = None
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            if self._owner.watching():
+                await self._next_call()
+            else:
+                self._after = None
+                await self._clock.sleep(ROLE_CHECK_S)
+
+    async def read(self) -> None:
+        """Read the document once; raises `PlatformError`."""
+        epoch = self._owner.epoch()
+        try:
+            found = await self._client.read(self._document)
+        except PlatformMissingError:
+            self.health.answered()
+            raise
+        except PlatformError as exc:
+            self.health.failed(exc)
+            raise
+        self.health.answered()
+        self._take(found, epoch)
+
+    async def _next_call(self) -> None:
+        try:
+            if self._after is None:
+                await self._start()
+            else:
+                await self._watch(self._after)
+        except PlatformError as exc:
+            self._after = None
+            if not isinstance(exc, PlatformMissingError):
+                await self._clock.sleep(self._backoff.delay())
+        else:
+            self._backoff.reset()
+
+    async def _start(self) -> None:
+        try:
+            await self.read()
+        except PlatformMissingError:
+            # Before the first publication there is nothing to read, but a watch waits.
+            self._after = 0
+
+    async def _watch(self, after: int) -> None:
+        epoch = self._owner.epoch()
+        try:
+            found = await self._client.watch(self._document, after, self._wait)
+            if found is not None and found.revision <= after:
+                raise PlatformError(f"a watch after {after} gave {found.revision}")
+        except PlatformError as exc:
+            self.health.failed(exc)
+            raise
+        self.health.answered()
+        if found is None:
+            self._owner.answered(self._document, None, epoch)
+            self._after = max(after, self._owner.held_revision(self._document))
+        else:
+            self._take(found, epoch)
+
+    def _take(self, found: PlatformDocument, epoch: int) -> None:
+        self._owner.answered(self._document, found, epoch)
+        # A refused revision is above the held one and must not be asked for again.
+        self._after = max(found.revision, self._owner.held_revision(self._document), 0)
--- /dev/null
+++ b/filbertshelf/coordination/store.py
@@ -0,0 +1,219 @@
+"""The documents that an instance holds and the check before it takes one."""
+
+from __future__ import annotations
+
+import collections
+import enum
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from filbertshelf import events
+from filbertshelf.errors import DocumentError, PublicationError
+from filbertshelf.protocol.platform import (
+    CONFIG,
+    DOCUMENTS,
+    INSTANCES,
+    MAX_REVISION,
+    PlatformDocument,
+    Row,
+    parse_rows,
+)
+from filbertshelf.state.documents import (
+    Delta,
+    Version,
+    VersionedDocument,
+    Whole,
+    decode_entries,
+    digest_of,
+    encode,
+    encode_entries,
+)
+from filbertshelf.state.publication import (
+    Publication,
+    flatten,
+    parse_publication,
+    unflatten,
+)
+
+# Refused versions that are remembered for each document, so that each is fetched and
+# logged once.
+REFUSED_KEPT = 256
+# Problems of one refused publication that its log line lists.
+MAX_LOGGED_PROBLEMS = 5
+
+# Nesting that the JSON parser accepts can be too deep for the check.
+_INVALID = (DocumentError, PublicationError, RecursionError)
+
+
+class Taken(enum.Enum):
+    """What became of a content."""
+
+    ACCEPTED = "accepted"
+    OLDER = "older"
+    REFUSED = "refused"
+
+
+class Store:
+    """Both documents and what they mean; it has no tasks and does no I/O.
+
+    A content is checked as a whole before it takes the place of the previous one.
+    """
+
+    def __init__(self) -> None:
+        self.documents = {name: VersionedDocument() for name in DOCUMENTS}
+        self.publication: Publication | None = None
+        self.rows: Mapping[str, Row] = {}
+        self._refused: dict[str, collections.OrderedDict[Version, None]] = {
+            name: collections.OrderedDict() for name in DOCUMENTS
+        }
+        self._older: dict[str, Version] = {}
+
+    def version(self, document: str) -> Version:
+        """Return the version that is in force."""
+        return self.documents[document].version
+
+    def versions(self) -> dict[str, Version]:
+        """Return the versions of all documents."""
+        return {name: doc.version for name, doc in self.documents.items()}
+
+    def wants(self, document: str, version: Version) -> bool:
+        """Return whether a version is higher than the held one and not refused."""
+        return (
+            document in self.documents
+            and version.revision <= MAX_REVISION
+            and self.documents[document].would_accept(version)
+            and version not in self._refused[document]
+        )
+
+    def change_since(self, document: str, held: Version) -> Delta | Whole | None:
+        """Return the change that leads from `held` to the held version, if any."""
+        doc = self.documents.get(document)
+        if doc is None or held >= doc.version:
+            return None
+        return doc.delta_since(held)
+
+    def from_platform(self, document: str, found: PlatformDocument) -> Taken:
+        """Take a document that the platform published."""
+        if found.revision < self.version(document).revision:
+            self._note_older(document, Version(found.revision, b""))
+            return Taken.OLDER
+        try:
+            entries = _platform_entries(document, found.content)
+        except _INVALID as exc:
+            version = Version(found.revision, _content_digest(found.content))
+            return self._refuse(document, version, exc)
+        version = Version(found.revision, digest_of(entries))
+        return self._take(document, Whole(version, entries), "platform")
+
+    def from_peer(self, document: str, change: Delta | Whole, source: str) -> Taken:
+        """Take a change that a peer sent.
+
+        Raises `DocumentError` if the change doesn't fit the held version or its own
+        digest; such a change was damaged and says nothing about the version.
+        """
+        if not self.wants(document, change.version):
+            return Taken.OLDER
+        return self._take(document, self.documents[document].result_of(change), source)
+
+    def _take(self, document: str, whole: Whole, source: str) -> Taken:
+        if not self.documents[document].would_accept(whole.version):
+            if whole.version != self.version(document):
+                self._note_older(document, whole.version)
+            return Taken.OLDER
+        try:
+            meaning = _READERS[document](whole)
+        except _INVALID as exc:
+            return self._refuse(document, whole.version, exc)
+        self.documents[document].apply(whole)
+        if document == CONFIG:
+            self.publication = meaning
+        else:
+            self.rows = meaning
+        events.emit(
+            events.CONFIG_ACCEPTED,
+            document=document,
+            revision=whole.version.revision,
+            digest=whole.version.digest.hex(),
+            source=source,
+        )
+        return Taken.ACCEPTED
+
+    def _refuse(self, document: str, version: Version, exc: Exception) -> Taken:
+        refused = self._refused[document]
+        if version not in refused:
+            events.emit(
+                events.CONFIG_REFUSED,
+                document=document,
+                revision=version.revision,
+                reason=_reason(exc),
+            )
+        refused[version] = None
+        refused.move_to_end(version)
+        if len(refused) > REFUSED_KEPT:
+            refused.popitem(last=False)
+        return Taken.REFUSED
+
+    def _note_older(self, document: str, version: Version) -> None:
+        if self._older.get(document) == version:
+            return
+        self._older[document] = version
+        events.emit(
+            events.CONFIG_OLDER,
+            document=document,
+            offered=str(version),
+            held=str(self.version(document)),
+        )
+
+
+def _platform_entries(document: str, content: Mapping[str, Any]) -> dict[str, bytes]:
+    if document == CONFIG:
+        # Flattening drops unknown sections, so the check comes first.
+        parse_publication(content)
+        content = flatten(content)
+    return encode_entries(content)
+
+
+def _content_digest(content: Mapping[str, Any]) -> bytes:
+    """Return a digest that tells refused contents apart."""
+    try:
+        return digest_of({"": encode(content)})
+    except DocumentError:
+        return b""
+
+
+def _read_config(whole: Whole) -> Publication:
+    entries = decode_entries(whole.entries)
+    try:
+        doc = unflatten(entries)
+        regular = flatten(doc).keys() == entries.keys()
+    except (AttributeError, TypeError) as exc:
+        raise DocumentError(f"the entries are not a publication: {exc}") from exc
+    if not regular:
+        raise DocumentError("the entries have keys that no publication has")
+    return parse_publication(doc)
+
+
+def _read_instances(whole: Whole) -> dict[str, Row]:
+    rows, problems = parse_rows(decode_entries(whole.entries))
+    for problem in problems:
+        events.emit(
+            events.ROW_IGNORED,
+            row=problem.where,
+            revision=whole.version.revision,
+            reason=problem.message,
+        )
+    return rows
+
+
+def _reason(exc: Exception) -> str:
+    if not isinstance(exc, PublicationError):
+        return str(exc)
+    listed = [str(problem) for problem in exc.problems[:MAX_LOGGED_PROBLEMS]]
+    rest = len(exc.problems) - len(listed)
+    return " | ".join([*listed, f"and {rest} more"] if rest else listed)
+
+
+_READERS: dict[str, Callable[[Whole], Any]] = {
+    CONFIG: _read_config,
+    INSTANCES: _read_instances,
+}
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -190,6 +190,66 @@
     "reason",
     level=Level.WARNING,
 )
+CONFIG_OLDER = define(
+    403,
+    "configuration-older",
+    "A lower version than the one in force was offered and has no effect.",
+    "document",
+    "offered",
+    "held",
+    level=Level.WARNING,
+)
+PLATFORM_RECOVERED = define(
+    404, "platform-recovered", "The platform answers again.", "failures"
+)
+WATCH_CHANGED = define(
+    405,
+    "platform-watch-changed",
+    "The instance starts or stops watching the platform for its data centre.",
+    "watching",
+    "watchers",
+)
+FETCH_FAILED = define(
+    406,
+    "configuration-fetch-failed",
+    "A peer that offered a higher version did not deliver it.",
+    "document",
+    "peer",
+    "reason",
+    level=Level.WARNING,
+)
+CONFIG_UNCONFIRMED = define(
+    407,
+    "configuration-unconfirmed",
+    "The process paused; its configuration must be confirmed before it serves.",
+    "config",
+    level=Level.WARNING,
+)
+CONFIG_CONFIRMED = define(
+    408,
+    "configuration-confirmed",
+    "The held versions are the highest that were seen.",
+    "config",
+    "instances",
+    "reason",
+)
+ROW_IGNORED = define(
+    409,
+    "instance-row-ignored",
+    "A row of the platform's instance list can't be read.",
+    "row",
+    "revision",
+    "reason",
+    level=Level.WARNING,
+)
+SUBSCRIBER_FAILED = define(
+    410,
+    "configuration-subscriber-failed",
+    "A part of the instance could not apply an accepted document.",
+    "document",
+    "reason",
+    level=Level.ERROR,
+)
 
 # Numbers 5xx (peers and membership), 6xx (bookings), 7xx (limits and admission)
 # and 8xx (quarantine) stand beside the code that emits them in this module.
