--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -200,3 +200,9 @@
 
     code = "platform"
     status = 503
+
+
+class PeerFailedError(PeerTimeoutError):
+    """A peer took the message and says that it has no result for it."""
+
+    code = "peer_failed"
--- /dev/null
+++ b/filbertshelf/protocol/membership.py
@@ -0,0 +1,95 @@
+"""The membership messages between instances."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from filbertshelf.protocol.messages import message
+from filbertshelf.state.members import Member, Status
+
+
+@attrs.frozen
+class MemberRow:
+    """A member in a message; the names are short because each probe has up to 8."""
+
+    id: str
+    dc: str
+    ip: str
+    port: int
+    inc: int
+    st: int
+
+    @classmethod
+    def of(cls, member: Member) -> MemberRow:
+        """Return the row of a member."""
+        ip, port = member.address
+        status = int(member.status)
+        return cls(member.id, member.data_centre, ip, port, member.incarnation, status)
+
+    def member(self) -> Member:
+        """Return the member; raises `ValueError` for an unknown status."""
+        address = (self.ip, self.port)
+        return Member(self.id, self.dc, address, self.inc, Status(self.st))
+
+
+Rows = tuple[MemberRow, ...]
+
+
+@message("probe")
+@attrs.frozen
+class Probe:
+    """Asks whether the receiver is alive; the first row is the sender's own."""
+
+    rows: Rows
+    payload: dict[str, Any] = attrs.field(factory=dict)
+
+
+@message("probe-ack")
+@attrs.frozen
+class ProbeAck:
+    """Says that the sender is alive; the first row is the sender's own."""
+
+    rows: Rows
+    payload: dict[str, Any] = attrs.field(factory=dict)
+
+
+@message("probe-for")
+@attrs.frozen
+class ProbeFor:
+    """Asks the receiver to probe the target on behalf of the sender."""
+
+    target: MemberRow
+    rows: Rows
+
+
+@message("probe-for-ack")
+@attrs.frozen
+class ProbeForAck:
+    """Says whether the target answered."""
+
+    reached: bool
+    rows: Rows
+
+
+@message("members")
+@attrs.frozen
+class MemberNotice:
+    """Announces rows outside the probes, such as that of a leaving member."""
+
+    rows: Rows
+
+
+@message("table-request")
+@attrs.frozen
+class TableRequest:
+    """Asks for all rows; sent once by an instance that joins."""
+
+
+@message("table")
+@attrs.frozen
+class Table:
+    """All rows that are not dead."""
+
+    rows: Rows
