--- a/filbertshelf/coordination/configuration.py
+++ b/filbertshelf/coordination/configuration.py
@@ -48,7 +48,7 @@
 from filbertshelf.settings import Settings
 from filbertshelf.state.backoff import Backoff
 from filbertshelf.state.documents import Version
-from filbertshelf.state.members import Address, Member, Status
+from filbertshelf.state.members import Address, ListedInstance, Member, Status
 from filbertshelf.state.publication import Publication
 from filbertshelf.state.readiness import Readiness
 from filbertshelf.state.watchers import choose_watchers
@@ -93,7 +93,10 @@
 
 
 class MembershipView(Protocol):
-    """What is needed of the membership."""
+    """What is needed of the membership; its probes carry `payload`."""
+
+    payload: Callable[[], dict[str, Any]]
+    on_payload: Callable[[Member, dict[str, Any]], None]
 
     def members(self) -> Iterable[Member]:
         """Return the members that are not dead, this instance included."""
@@ -101,6 +104,9 @@
     def random_peers(self, count: int) -> Iterable[Member]:
         """Return up to `count` other live members."""
 
+    def merge_list(self, rows: Iterable[ListedInstance]) -> None:
+        """Take the platform's current instance list."""
+
 
 Subscriber = Callable[[str], None]
 
@@ -158,6 +164,8 @@
         peers.register(Offer, self._on_offer)
         peers.register(Fetch, self._on_fetch)
         peers.register(Ask, self._on_ask)
+        membership.payload = self.probe_payload
+        membership.on_payload = self.take_probe_payload
 
     @property
     def publication(self) -> Publication | None:
@@ -200,10 +208,10 @@
         """Return the held versions for the membership probes."""
         return pack_versions(self.store.versions())
 
-    def take_probe_payload(self, address: Address, payload: object) -> None:
-        """Learn the versions that the peer at `address` holds."""
+    def take_probe_payload(self, member: Member, payload: object) -> None:
+        """Learn the versions that a member holds."""
         for document, version in unpack_versions(payload).items():
-            self._seen(document, version, address)
+            self._seen(document, version, member.address)
 
     async def on_started(self) -> None:
         """Start the tasks."""
@@ -279,6 +287,8 @@
 
     def _after_taken(self, document: str, taken: Taken) -> None:
         if taken is Taken.ACCEPTED:
+            if document == INSTANCES:
+                self._membership.merge_list(self._listed_instances())
             self._offer(document)
             self._tell_subscribers(document)
         self._check_ready()
@@ -399,18 +409,21 @@
         members = [m.address for m in self._membership.random_peers(ASKED_PEERS)]
         own = {m.address for m in self._membership.members() if m.id == self._cfg.name}
         known = set(self._cfg.peers)
-        known |= {_split(row.address) for row in self._listed_peers()}
+        known |= {row.address for row in self._listed_instances() if not row.leaving}
         others = sorted(known - own - set(members))
         count = min(len(others), max(1, ASKED_PEERS - len(members)))
         return members + self._rng.sample(others, count)
 
-    def _listed_peers(self) -> list[Row]:
+    def _listed_instances(self) -> list[ListedInstance]:
         return [
-            row
+            ListedInstance(
+                row.name,
+                row.data_centre,
+                _split(row.address),
+                row.state is RowState.LEAVING,
+            )
             for row in self.store.rows.values()
-            if row.kind is RowKind.INSTANCE
-            and row.state is RowState.LIVE
-            and row.name != self._cfg.name
+            if row.kind is RowKind.INSTANCE and row.name != self._cfg.name
         ]
 
 
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -224,3 +224,9 @@
     """The entries or the delta of a document don't fit its version."""
 
     code = "document"
+
+
+class PeerFailedError(PeerTimeoutError):
+    """A peer took the message and says that it has no result for it."""
+
+    code = "peer_failed"
