--- /dev/null
+++ b/filbertshelf/state/replicas.py
@@ -0,0 +1,361 @@
+"""Per-target observations and the choice of a replica."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Collection, Sequence
+from math import exp
+
+import attrs
+
+from filbertshelf.clock import Clock
+from filbertshelf.state.outcome import Reason, Result
+from filbertshelf.state.publication import Target
+
+MIN_LATENCY_S = 0.001
+"""The assumed latency of a target without samples; low, so that it gets measured."""
+
+RISE_WEIGHT = 0.5
+"""The weight of a sample above the average; a slow target is noticed at once."""
+
+FALL_TIME_S = 2.0
+"""The time constant with which the average follows samples below it."""
+
+IDLE_TIME_S = 5.0
+"""The time constant with which the cost of an unused target falls.
+
+The choice never picks the costliest replica, so without this a target that was
+slow once would never be measured again.
+"""
+
+FAILURE_LATENCY_S = 1.0
+"""What a failure counts as; far above any healthy target's latency."""
+
+SHED_LATENCY_S = 0.25
+"""What a refusal counts as; a refusal is quick and must not look like speed."""
+
+TIMEOUT_FACTOR = 3.0
+"""A timeout is the target's failure only above this multiple of its usual latency.
+
+Otherwise callers with very short deadlines would open the breakers of all targets.
+"""
+
+USUAL_WEIGHT = 0.05
+"""The weight of one answer in a target's usual latency."""
+
+FAILURE_WEIGHT = 0.2
+"""The weight of one attempt in the failure score; 5 failures in a row open."""
+
+OPEN_SCORE = 0.6
+"""The failure score that opens the breaker."""
+
+RECLOSED_SCORE = 0.55
+"""The score after a successful probe; one more failure opens the breaker again."""
+
+HEALTHY_SCORE = 0.05
+"""The score below which the open time starts from its minimum again."""
+
+OPEN_MIN_S = 1.0
+OPEN_MAX_S = 30.0
+
+REPORT_FRESH_S = 1.0
+"""How long a load report counts."""
+
+MAX_REPORT_FACTOR = 2.0
+"""The most that a load report can weigh."""
+
+RAMP_S = 5.0
+"""How long a target takes from its first use to its full share."""
+
+RAMP_ANSWERS = 20
+"""How many answers a target must have given before it gets its full share."""
+
+RAMP_MIN = 0.1
+"""The part of its share that a target gets at the start of its ramp."""
+
+UNUSED_S = 30.0
+"""A target without a start for so long is ramped again."""
+
+_SHED = frozenset(
+    (Reason.OVERLOADED, Reason.COLD, Reason.DRAINING, Reason.OTHER_SNAPSHOT)
+)
+_FAILED = frozenset(
+    (
+        Reason.CONNECT_FAILED,
+        Reason.CONNECTION_LOST,
+        Reason.BAD_RESPONSE,
+        Reason.TARGET_ERROR,
+    )
+)
+_SHARED_RNG = random.Random()
+
+
+class Breaker(enum.Enum):
+    """The state of a circuit breaker."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+@attrs.frozen
+class Choice:
+    """The chosen target and the reason for the log."""
+
+    target: str
+    reason: str
+
+
+class TargetState:
+    """What this instance itself has seen of one target.
+
+    Each `started` is followed by exactly one `finished`. Draining is sticky: a new
+    incarnation of the target gets a new state. `rng` jitters the open time.
+    """
+
+    __slots__ = (
+        "_answers",
+        "_breaker",
+        "_clock",
+        "_latency",
+        "_open_s",
+        "_open_until",
+        "_ramp_from",
+        "_report",
+        "_report_at",
+        "_rng",
+        "_sample_at",
+        "_score",
+        "_used_at",
+        "_usual",
+        "draining",
+        "in_flight",
+        "name",
+        "target",
+    )
+
+    def __init__(self, target: Target, clock: Clock, rng: random.Random | None = None):
+        self.target = target
+        self.name = target.name
+        self.in_flight = 0
+        self.draining = False
+        self._clock = clock
+        self._rng = rng or _SHARED_RNG
+        self._latency = 0.0
+        self._sample_at = 0.0
+        self._usual = 0.0
+        self._breaker = Breaker.CLOSED
+        self._score = 0.0
+        self._open_s = OPEN_MIN_S
+        self._open_until = 0.0
+        self._report = 0
+        self._report_at = float("-inf")
+        self._used_at = float("-inf")
+        self._ramp_from: float | None = None
+        self._answers = 0
+
+    @property
+    def breaker(self) -> Breaker:
+        """Return the state of the circuit breaker."""
+        if self._breaker is Breaker.OPEN and self._open_is_over():
+            return Breaker.HALF_OPEN
+        return self._breaker
+
+    @property
+    def latency_s(self) -> float:
+        """Return the average latency in seconds, 0.0 before the first sample."""
+        return self._latency
+
+    def started(self) -> None:
+        """Count an attempt that is being sent to the target."""
+        now = self._clock.monotonic()
+        self.in_flight += 1
+        if now - self._used_at > UNUSED_S:
+            self._restart_ramp()
+        if self._ramp_from is None:
+            self._ramp_from = now
+        self._used_at = now
+        if self._breaker is Breaker.OPEN and now >= self._open_until:
+            self._breaker = Breaker.HALF_OPEN
+
+    def finished(self, result: Result, reason: Reason, latency_s: float) -> None:
+        """Record the end of an attempt that took `latency_s` seconds."""
+        self.in_flight -= 1
+        if result is Result.ANSWERED:
+            self._answered(latency_s)
+        elif reason in _FAILED or self._is_late(reason, latency_s):
+            self._sample(max(latency_s, FAILURE_LATENCY_S))
+            self._failed()
+        elif reason in _SHED:
+            self._shed(reason, latency_s)
+        elif latency_s > self._latency:
+            # A cancelled attempt would have taken at least the elapsed time.
+            self._sample(latency_s)
+
+    def observe_report(self, load: int, draining: bool) -> None:
+        """Record the load (requests in flight) and state that the target reports."""
+        self._report = load
+        self._report_at = self._clock.monotonic()
+        if draining:
+            self.draining = True
+
+    def available(self) -> bool:
+        """Return whether a new attempt may go to the target."""
+        if self.draining:
+            return False
+        if self._breaker is Breaker.CLOSED:
+            return True
+        return self._probe_is_due()
+
+    def cost(self) -> float:
+        """Return (in flight + 1) x average latency in seconds."""
+        latency = self._latency
+        if latency:
+            idle = self._clock.monotonic() - self._sample_at
+            latency *= exp(-idle / IDLE_TIME_S)
+        return (self.in_flight + 1) * max(latency, MIN_LATENCY_S)
+
+    def report_factor(self) -> float:
+        """Return 1.0 to 2.0 from the load that others put on the target."""
+        others = self._report - self.in_flight
+        if others <= 0 or self._clock.monotonic() - self._report_at > REPORT_FRESH_S:
+            return 1.0
+        return min(MAX_REPORT_FACTOR, 1.0 + others / self.target.slots)
+
+    def ramp(self) -> float:
+        """Return the part of its share that the target may have, up to 1.0."""
+        now = self._clock.monotonic()
+        if self._ramp_from is None or now - self._used_at > UNUSED_S:
+            return RAMP_MIN
+        by_time = (now - self._ramp_from) / RAMP_S
+        if by_time >= 1.0 and self._answers >= RAMP_ANSWERS:
+            return 1.0
+        return max(RAMP_MIN, min(by_time, self._answers / RAMP_ANSWERS))
+
+    def probe_is_due(self) -> bool:
+        """Return whether the next attempt would be the probe of an open breaker."""
+        return self._breaker is not Breaker.CLOSED and self._probe_is_due()
+
+    def _open_is_over(self) -> bool:
+        return self._clock.monotonic() >= self._open_until
+
+    def _probe_is_due(self) -> bool:
+        # Attempts from before the breaker opened must have ended, so that the only
+        # attempt in flight is the probe and its end is not taken for another's.
+        return self.in_flight == 0 and self._open_is_over()
+
+    def _is_late(self, reason: Reason, latency_s: float) -> bool:
+        usual = max(self._usual, MIN_LATENCY_S)
+        return reason is Reason.TIMEOUT and latency_s >= TIMEOUT_FACTOR * usual
+
+    def _sample(self, latency_s: float) -> None:
+        now = self._clock.monotonic()
+        old = self._latency
+        if not old:
+            self._latency = latency_s
+        elif latency_s >= old:
+            self._latency = old + RISE_WEIGHT * (latency_s - old)
+        else:
+            keep = exp((self._sample_at - now) / FALL_TIME_S)
+            self._latency = old * keep + latency_s * (1.0 - keep)
+        self._sample_at = now
+
+    def _answered(self, latency_s: float) -> None:
+        self._sample(latency_s)
+        usual = self._usual or latency_s
+        self._usual = usual + USUAL_WEIGHT * (latency_s - usual)
+        self._answers += 1
+        if self._breaker is Breaker.HALF_OPEN:
+            self._close()
+        elif self._breaker is Breaker.CLOSED:
+            self._score *= 1.0 - FAILURE_WEIGHT
+            if self._score < HEALTHY_SCORE:
+                self._open_s = OPEN_MIN_S
+
+    def _shed(self, reason: Reason, latency_s: float) -> None:
+        self._sample(max(latency_s, SHED_LATENCY_S))
+        if reason is Reason.DRAINING:
+            self.draining = True
+        elif reason is Reason.COLD:
+            self._restart_ramp()
+        if self._breaker is Breaker.HALF_OPEN:
+            self._close()
+
+    def _failed(self) -> None:
+        if self._breaker is Breaker.HALF_OPEN:
+            self._open()
+        elif self._breaker is Breaker.CLOSED:
+            self._score += (1.0 - self._score) * FAILURE_WEIGHT
+            if self._score >= OPEN_SCORE:
+                self._open()
+
+    def _open(self) -> None:
+        self._breaker = Breaker.OPEN
+        jitter = self._rng.uniform(0.5, 1.0)
+        self._open_until = self._clock.monotonic() + self._open_s * jitter
+        self._open_s = min(OPEN_MAX_S, 2.0 * self._open_s)
+
+    def _close(self) -> None:
+        self._breaker = Breaker.CLOSED
+        self._score = RECLOSED_SCORE
+        self._restart_ramp()
+
+    def _restart_ramp(self) -> None:
+        self._ramp_from = None
+        self._answers = 0
+
+
+def choose_replica(
+    states: Sequence[TargetState],
+    rng: random.Random,
+    exclude: Collection[str] = (),
+) -> Choice | None:
+    """Return the better of two random available replicas, None if there is none.
+
+    A replica on its ramp gives up a part of its choices. A load report moves at
+    most half of a replica's choices, and only to one that costs at most twice as
+    much, so that false reports can at most halve or double a share.
+    """
+    live = [s for s in states if s.name not in exclude and s.available()]
+    count = len(live)
+    if count == 0:
+        return None
+    if count == 1:
+        return Choice(live[0].name, "only replica available")
+    index = int(rng.random() * count)
+    other = int(rng.random() * (count - 1))
+    if other >= index:
+        other += 1
+    return _better(live[index], live[other], rng)
+
+
+def choose_random(
+    states: Sequence[TargetState],
+    rng: random.Random,
+    exclude: Collection[str] = (),
+) -> Choice | None:
+    """Return any replica that is not draining: the baseline without observations."""
+    live = [s for s in states if s.name not in exclude and not s.draining]
+    if not live:
+        return None
+    return Choice(live[int(rng.random() * len(live))].name, "random")
+
+
+def _better(one: TargetState, two: TargetState, rng: random.Random) -> Choice:
+    for state in (one, two):
+        if state.probe_is_due():
+            return Choice(state.name, "probe of an open breaker")
+    cost_one = one.cost()
+    cost_two = two.cost()
+    if cost_two < cost_one:
+        one, two = two, one
+        cost_one, cost_two = cost_two, cost_one
+    ramp = one.ramp()
+    if ramp < 1.0 and rng.random() >= ramp and two.ramp() > ramp:
+        return Choice(two.name, "lower-cost replica is ramping up")
+    if cost_two <= MAX_REPORT_FACTOR * cost_one:
+        ratio = two.report_factor() / one.report_factor()
+        if ratio < 1.0 and rng.random() >= ratio:
+            return Choice(two.name, "lower-cost replica reports more load")
+    return Choice(one.name, "lower cost of two")
