Add tickets, the owner's table and the booking coordinator

Non-idempotent requests had no mechanism that bounds them to one run. Tickets name the owner that may run them; the owner's table decides before the first await. Not yet tested.

--- /dev/null
+++ b/filbertshelf/coordination/bookings.py
@@ -0,0 +1,593 @@
+"""Bookings: each ticket runs at most once, and only at its owner."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, Protocol
+
+import attrs
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.errors import (
+    DeadlinePassedError,
+    FilbertshelfError,
+    MessageError,
+    PausedError,
+    RunStoppedError,
+    SecondWriteError,
+    TicketBodyError,
+    UserError,
+)
+from filbertshelf.protocol.bookings import (
+    AskFinal,
+    BookingRequest,
+    BookingResult,
+    FinalReply,
+    ForwardBooking,
+    HandoffReply,
+    TicketHandoff,
+    decode_answer,
+    decode_request,
+    encode_answer,
+    encode_request,
+    handoff_message,
+    read_handoff,
+)
+from filbertshelf.settings import Settings
+from filbertshelf.state.outcome import (
+    Answer,
+    Attempt,
+    Coverage,
+    Missing,
+    Outcome,
+    Reason,
+    Result,
+    without_answer,
+)
+from filbertshelf.state.tickets import (
+    Address,
+    Decision,
+    FinalExport,
+    FinalTable,
+    Ticket,
+    TicketTable,
+    Verdict,
+    format_ticket,
+    parse_ticket,
+    rank_peers,
+    split_export,
+)
+
+HANDOFF_COPIES = 2
+# The members of the asker and of the leaving owner may differ by a few instances.
+# Both use the first 4 of the same ranking, so that 2 differences are tolerated.
+HANDOFF_CANDIDATES = 4
+HANDOFF_TIMEOUT = 2.0
+ASK_TIMEOUT = 1.0
+# One part of a final table stays below a peer message's limit of 1 MiB.
+PART_RECORDS = 2_000
+PART_BYTES = 262_144
+# A larger answer isn't kept, since a resend could then not get the same one.
+MAX_OUTCOME_BYTES = 65_536
+# The verdicts of a final table, or of an owner, that answer the request.
+_NOT_RUN = (Verdict.EXPIRED, Verdict.CLOSED, Verdict.ABSENT)
+_DEFINITE = (*_NOT_RUN, Verdict.RECORDED, Verdict.OTHER_BODY)
+
+
+@attrs.frozen
+class ShardChoice:
+    """The shard that a booking goes to and the snapshot that it is pinned to."""
+
+    service: str
+    shard: str
+    index_version: str
+    generation: int
+    revision: int
+
+
+class Planner(Protocol):
+    """Decides at the owner where a booking goes."""
+
+    def choose(self, request: BookingRequest) -> ShardChoice:
+        """Return the shard and its snapshot without waiting.
+
+        Raises `UserError` (no policy, no service, not ready, overloaded) if the
+        request must not run; its ticket is then refused for good.
+        """
+
+
+class Runner(Protocol):
+    """Sends one booking to a target."""
+
+    async def run_once(
+        self,
+        request: BookingRequest,
+        ticket_id: str,
+        choice: ShardChoice,
+        deadline: float,
+        check: RunCheck,
+    ) -> Sequence[Attempt]:
+        """Return all attempts; `deadline` is in seconds of the monotonic clock.
+
+        The runner calls `check()` after every await that a write may follow, and
+        `check.before_write()` right before each write, with no await between it
+        and the write. It calls `check.not_run()` after each attempt known not to
+        have run, and tries another replica only then. A response that was read is
+        returned as answered, without another check. What `check` raises is passed
+        on.
+        """
+
+
+class PauseDetector(Protocol):
+    """Detects that the process did not run for a while, as `PauseGuard` does."""
+
+    def check(self) -> float:
+        """Return the seconds of a pause that isn't acknowledged yet, 0.0 if none."""
+
+
+class PeerLink(Protocol):
+    """The part of the peer transport that bookings use."""
+
+    def register(
+        self, message_class: type, handler: Callable[[Any, Any], Awaitable[Any]]
+    ) -> None:
+        """Call `handler(sender, message)` for each message; it returns the reply."""
+
+    async def request(self, address: Address, msg: Any, timeout: float) -> Any:
+        """Return the reply.
+
+        Raises `PeerUnreachableError` only if nothing was delivered, else
+        `PeerTimeoutError`.
+        """
+
+
+class Members(Protocol):
+    """The part of the membership that bookings use."""
+
+    def peers(self) -> Mapping[str, Address]:
+        """Return the peer address by id of the live members that aren't leaving.
+
+        This instance is not among them.
+        """
+
+
+class RunCheck:
+    """Says whether a booking may still be written; at most one write is open."""
+
+    def __init__(self, clock: Clock, deadline: float, pauses: PauseDetector):
+        self._clock = clock
+        self._deadline = deadline
+        self._pauses = pauses
+        self._open = False
+
+    @property
+    def unresolved(self) -> bool:
+        """Return whether a write is not known to be without effect."""
+        return self._open
+
+    def __call__(self) -> None:
+        """Raise `PausedError` or `DeadlinePassedError` if nothing may be written."""
+        if self._pauses.check() > 0.0:
+            raise PausedError("the process was paused before the write")
+        if self._clock.monotonic() >= self._deadline:
+            raise DeadlinePassedError("the deadline passed before the write")
+
+    def before_write(self) -> None:
+        """Check, and mark that the booking is written from now on.
+
+        Raises `SecondWriteError` while an earlier write may have had an effect.
+        """
+        self()
+        if self._open:
+            raise SecondWriteError("an earlier write may have had an effect")
+        self._open = True
+
+    def not_run(self) -> None:
+        """Mark that the last write is known to have had no effect."""
+        self._open = False
+
+
+class Bookings:
+    """Mints tickets, runs its own, forwards others, and hands its table off."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        table: TicketTable,
+        finals: FinalTable,
+        peers: PeerLink,
+        members: Members,
+        planner: Planner,
+        runner: Runner,
+        pauses: PauseDetector,
+    ):
+        self._cfg = cfg
+        self._clock = clock
+        self._table = table
+        self._finals = finals
+        self._peers = peers
+        self._members = members
+        self._planner = planner
+        self._runner = runner
+        self._pauses = pauses
+        self._runs: dict[str, asyncio.Task[Answer]] = {}
+        peers.register(ForwardBooking, self._on_forward)
+        peers.register(TicketHandoff, self._on_handoff)
+        peers.register(AskFinal, self._on_ask_final)
+
+    @property
+    def running(self) -> int:
+        """Return the number of bookings that run here now."""
+        return len(self._runs)
+
+    def mint(self) -> str:
+        """Return the text of a new ticket.
+
+        Raises `StoppingError` or `TicketsFullError`.
+        """
+        try:
+            ticket = self._table.mint()
+        except UserError as exc:
+            events.emit(events.MINT_REFUSED, reason=exc.code)
+            raise
+        events.emit(events.TICKET_MINTED, ticket=ticket.id)
+        return format_ticket(ticket, self._cfg.fleet_key)
+
+    async def submit(
+        self, ticket_text: str, request: BookingRequest, deadline: float
+    ) -> Answer:
+        """Return the outcome of the ticket's only run, or unknown at the deadline.
+
+        `deadline` is in seconds of the monotonic clock. A caller that goes away
+        does not end the run. Raises `TicketError` for a ticket that is not valid
+        or was first used with another body.
+        """
+        ticket = parse_ticket(ticket_text, self._cfg.fleet_key)
+        if self._table.mints(ticket):
+            return await self._submit_here(ticket, request, deadline)
+        decision = self._finals.lookup(ticket, request.digest())
+        if decision.verdict not in _DEFINITE:
+            decision = await self._forward(ticket, ticket_text, request, deadline)
+        if decision.verdict not in _DEFINITE:
+            decision = await self._ask_finals(ticket, ticket_text, request, deadline)
+        return _settle(decision, request)
+
+    async def leave(self, timeout: float) -> None:
+        """Close the table, wait up to `timeout` s for the runs, hand the table off.
+
+        The order carries the promise. The table closes first, so that no ticket
+        starts after the export that says it never will. The export follows the
+        runs, so that it holds their outcomes; a run that is still going is handed
+        off as unknown. Until the process ends it keeps answering from its table.
+        """
+        self._table.close()
+        events.emit(events.BOOKINGS_CLOSED, running=len(self._runs))
+        if self._runs:
+            await self._first_of(
+                set(self._runs.values()), timeout, asyncio.ALL_COMPLETED
+            )
+        await self._hand_off(self._table.export())
+        # The tables that this instance holds for others would be lost with it.
+        for export in self._finals.exports():
+            await self._hand_off(export)
+
+    # The owner's side.
+
+    async def _submit_here(
+        self, ticket: Ticket, request: BookingRequest, deadline: float
+    ) -> Answer:
+        decision = self._table.begin(ticket, request.digest())
+        if decision.verdict is Verdict.RUN:
+            refusal = self._start(ticket, request, deadline)
+            if refusal is not None:
+                return refusal
+        elif decision.verdict is Verdict.WAIT:
+            fields = {"request_id": request.request_id, "ticket": ticket.id}
+            events.emit(events.BOOKING_WAITED, **fields)
+        else:
+            _log_decision(decision, ticket, request)
+            return _settle(decision, request)
+        return await self._await_run(self._runs[ticket.id], request, deadline)
+
+    def _start(
+        self, ticket: Ticket, request: BookingRequest, deadline: float
+    ) -> Answer | None:
+        """Start the run, or refuse the ticket and return the answer."""
+        check = RunCheck(self._clock, deadline, self._pauses)
+        try:
+            check()
+            choice = self._planner.choose(request)
+        except (UserError, RunStoppedError) as exc:
+            answer = _no_answer(request, Outcome.NOT_RUN, exc.code)
+            self._record(ticket, request, answer)
+            return answer
+        except Exception:
+            answer = _no_answer(request, Outcome.NOT_RUN, "planner_fault")
+            self._record(ticket, request, answer)
+            raise
+        events.emit(events.BOOKING_RUN, request_id=request.request_id, ticket=ticket.id)
+        run = self._run(ticket, request, choice, deadline, check)
+        self._runs[ticket.id] = asyncio.get_running_loop().create_task(run)
+        return None
+
+    async def _run(
+        self,
+        ticket: Ticket,
+        request: BookingRequest,
+        choice: ShardChoice,
+        deadline: float,
+        check: RunCheck,
+    ) -> Answer:
+        answer = _no_answer(request, Outcome.UNKNOWN, "run_cancelled")
+        try:
+            attempts = await self._runner.run_once(
+                request, ticket.id, choice, deadline, check
+            )
+            answer = _judge(request, choice, attempts, check)
+        except RunStoppedError as exc:
+            outcome = Outcome.UNKNOWN if check.unresolved else Outcome.NOT_RUN
+            answer = _no_answer(request, outcome, exc.code)
+        except Exception as exc:
+            events.emit(events.RUNNER_FAULT, ticket=ticket.id, reason=repr(exc))
+            answer = _no_answer(request, Outcome.UNKNOWN, "runner_fault")
+        finally:
+            del self._runs[ticket.id]
+            answer = self._record(ticket, request, answer)
+        return answer
+
+    def _record(
+        self, ticket: Ticket, request: BookingRequest, answer: Answer
+    ) -> Answer:
+        """Record the answer in the table and return it, or what replaces it."""
+        try:
+            outcome = encode_answer(answer)
+        except Exception as exc:
+            events.emit(events.RUNNER_FAULT, ticket=ticket.id, reason=repr(exc))
+            answer = _no_answer(request, Outcome.UNKNOWN, "answer_not_encodable")
+            outcome = encode_answer(answer)
+        if len(outcome) > MAX_OUTCOME_BYTES:
+            answer = _no_answer(request, Outcome.UNKNOWN, "answer_too_large")
+            outcome = encode_answer(answer)
+        refused = answer.outcome is Outcome.NOT_RUN
+        (self._table.refuse if refused else self._table.finish)(ticket, outcome)
+        fields = {"outcome": answer.outcome.value, "attempts": answer.sub_requests}
+        events.emit(
+            events.BOOKING_FINISHED,
+            ticket=ticket.id,
+            reason=answer.reason,
+            **fields,
+            request_id=answer.request_id,
+        )
+        return answer
+
+    async def _await_run(
+        self, run: asyncio.Task[Answer], request: BookingRequest, deadline: float
+    ) -> Answer:
+        """Return the run's answer, or unknown when this request's deadline passes.
+
+        Neither that nor the caller's cancellation touches the run.
+        """
+        remaining = deadline - self._clock.monotonic()
+        await self._first_of({run}, remaining, asyncio.FIRST_COMPLETED)
+        if not run.done() or run.cancelled():
+            return _no_answer(request, Outcome.UNKNOWN, "deadline_passed")
+        return attrs.evolve(run.result(), request_id=request.request_id)
+
+    async def _first_of(
+        self, runs: set[asyncio.Task[Answer]], timeout: float, return_when: str
+    ) -> None:
+        """Wait for the runs for up to `timeout` seconds of the clock."""
+        timer = asyncio.ensure_future(self._clock.sleep(max(timeout, 0.0)))
+        waiting = asyncio.ensure_future(asyncio.wait(runs, return_when=return_when))
+        try:
+            await asyncio.wait({waiting, timer}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            waiting.cancel()
+
+    # The other instances' side.
+
+    async def _forward(
+        self, ticket: Ticket, text: str, request: BookingRequest, deadline: float
+    ) -> Decision:
+        owner = ticket.owner
+        fields = {"request_id": request.request_id, "ticket": ticket.id}
+        fields["owner"] = owner.id
+        events.emit(events.BOOKING_FORWARDED, address=owner.address, **fields)
+        remaining = deadline - self._clock.monotonic()
+        msg = ForwardBooking(
+            text, encode_request(request), max(int(remaining * 1000), 0)
+        )
+        decision = await self._ask(owner.address, msg, remaining)
+        if decision.verdict not in _DEFINITE:
+            reason = decision.verdict.value
+            events.emit(events.FORWARD_FAILED, reason=reason, **fields)
+        return decision
+
+    async def _ask_finals(
+        self, ticket: Ticket, text: str, request: BookingRequest, deadline: float
+    ) -> Decision:
+        """Return what the peers that may hold the owner's final table know."""
+        remaining = min(deadline - self._clock.monotonic(), ASK_TIMEOUT)
+        msg = AskFinal(text, request.digest())
+        asked = self._candidates(ticket.owner.id)
+        replies = await asyncio.gather(
+            *(self._ask(address, msg, remaining) for address in asked)
+        )
+        found = [reply for reply in replies if reply.verdict in _DEFINITE]
+        # A holder may know the outcome of a run that another has as unknown.
+        decision = found[0] if found else Decision(Verdict.UNKNOWN)
+        events.emit(
+            events.FINAL_CONSULTED,
+            request_id=request.request_id,
+            ticket=ticket.id,
+            owner=ticket.owner.id,
+            verdict=decision.verdict.value,
+        )
+        return decision
+
+    async def _ask(self, address: Address, msg: Any, timeout: float) -> Decision:
+        """Return the verdict in the peer's reply, unknown without one."""
+        if timeout <= 0:
+            return Decision(Verdict.UNKNOWN)
+        try:
+            reply = await self._peers.request(address, msg, timeout)
+            return Decision(Verdict(reply.verdict), reply.outcome)
+        except FilbertshelfError:
+            return Decision(Verdict.UNKNOWN)
+        except (AttributeError, ValueError):
+            # A peer of another version replied with what this one doesn't know.
+            return Decision(Verdict.UNKNOWN)
+
+    def _candidates(self, owner_id: str) -> list[Address]:
+        """Return the addresses where the owner's final table may be."""
+        peers = self._members.peers()
+        ranked = rank_peers(owner_id, peers.keys() - {owner_id})
+        return [peers[name] for name in ranked[:HANDOFF_CANDIDATES]]
+
+    async def _hand_off(self, export: FinalExport) -> None:
+        accepted = []
+        for address in self._candidates(export.owner.id):
+            if await self._send_table(address, export):
+                accepted.append(address)
+            if len(accepted) == HANDOFF_COPIES:
+                break
+        events.emit(
+            events.TABLE_HANDED_OFF,
+            owner=export.owner.id,
+            records=len(export.records),
+            peers=accepted,
+        )
+
+    async def _send_table(self, address: Address, export: FinalExport) -> bool:
+        parts = split_export(export, PART_RECORDS, PART_BYTES)
+        for number, part in enumerate(parts):
+            msg = handoff_message(part, number, len(parts))
+            try:
+                reply = await self._peers.request(address, msg, HANDOFF_TIMEOUT)
+            except FilbertshelfError:
+                return False
+            if not (isinstance(reply, HandoffReply) and reply.accepted):
+                return False
+        return True
+
+    # Handlers of peer messages.
+
+    async def _on_forward(self, sender: Any, msg: ForwardBooking) -> BookingResult:
+        """Answer as the owner; never forward again."""
+        deadline = self._clock.monotonic() + msg.deadline_ms / 1000
+        try:
+            ticket = parse_ticket(msg.ticket, self._cfg.fleet_key)
+            request = decode_request(msg.request)
+            if not self._table.mints(ticket):
+                return BookingResult(Verdict.UNKNOWN.value)
+            answer = await self._submit_here(ticket, request, deadline)
+        except TicketBodyError:
+            return BookingResult(Verdict.OTHER_BODY.value)
+        except (UserError, MessageError):
+            return BookingResult(Verdict.UNKNOWN.value)
+        if answer.outcome is Outcome.UNKNOWN and answer.reason == "ticket_unknown":
+            return BookingResult(Verdict.UNKNOWN.value)
+        return BookingResult(Verdict.RECORDED.value, encode_answer(answer))
+
+    async def _on_handoff(self, sender: Any, msg: TicketHandoff) -> HandoffReply:
+        accepted = self._finals.add(read_handoff(msg), msg.part, msg.parts)
+        events.emit(
+            events.TABLE_RECEIVED,
+            owner=msg.owner_id,
+            part=msg.part,
+            parts=msg.parts,
+            accepted=accepted,
+        )
+        return HandoffReply(accepted)
+
+    async def _on_ask_final(self, sender: Any, msg: AskFinal) -> FinalReply:
+        try:
+            ticket = parse_ticket(msg.ticket, self._cfg.fleet_key)
+        except UserError:
+            return FinalReply(Verdict.UNKNOWN.value)
+        decision = self._finals.lookup(ticket, msg.digest)
+        return FinalReply(decision.verdict.value, decision.outcome)
+
+
+def _judge(
+    request: BookingRequest,
+    choice: ShardChoice,
+    attempts: Sequence[Attempt],
+    check: RunCheck,
+) -> Answer:
+    """Return the answer that the attempts allow.
+
+    More than one attempt that may have run is a fault of the runner: unknown.
+    """
+    started = [attempt for attempt in attempts if attempt.result is not Result.NOT_RUN]
+    answered = [attempt for attempt in started if attempt.result is Result.ANSWERED]
+    snapshot = {
+        choice.service: {
+            "index_version": choice.index_version,
+            "generation": choice.generation,
+        }
+    }
+    if len(started) == 1 and answered:
+        rows = answered[0].answer
+        return Answer(
+            request.request_id,
+            Outcome.WHOLE,
+            choice.revision,
+            snapshot,
+            Coverage(1, 1),
+            tuple(rows) if isinstance(rows, list | tuple) else (rows,),
+            sub_requests=len(attempts),
+        )
+    outcome = without_answer(attempts)
+    if check.unresolved:
+        outcome = Outcome.UNKNOWN
+    reason = attempts[-1].reason if attempts else Reason.NO_REPLICA
+    missing = Missing(choice.service, choice.shard, reason)
+    return Answer(
+        request.request_id,
+        outcome,
+        choice.revision,
+        snapshot,
+        Coverage(1, 0, (missing,)),
+        reason=reason.value,
+        sub_requests=len(attempts),
+    )
+
+
+def _settle(decision: Decision, request: BookingRequest) -> Answer:
+    """Return the answer for a decision other than to run or to wait.
+
+    Raises `TicketBodyError` if the ticket was first used with another body.
+    """
+    if decision.verdict is Verdict.RECORDED:
+        answer = decode_answer(decision.outcome)
+        return attrs.evolve(answer, request_id=request.request_id)
+    if decision.verdict is Verdict.OTHER_BODY:
+        raise TicketBodyError(
+            "the ticket was used with another body", "get a ticket for each booking"
+        )
+    if decision.verdict in _NOT_RUN:
+        reason = f"ticket_{decision.verdict.value}"
+        return _no_answer(request, Outcome.NOT_RUN, reason)
+    return _no_answer(request, Outcome.UNKNOWN, "ticket_unknown")
+
+
+def _no_answer(request: BookingRequest, outcome: Outcome, reason: str) -> Answer:
+    missing = Missing(request.service, request.shard, Reason.NONE)
+    return Answer(
+        request.request_id, outcome, 0, {}, Coverage(1, 0, (missing,)), reason=reason
+    )
+
+
+def _log_decision(decision: Decision, ticket: Ticket, request: BookingRequest) -> None:
+    fields = {"request_id": request.request_id, "ticket": ticket.id}
+    if decision.verdict is Verdict.RECORDED:
+        outcome = decode_answer(decision.outcome).outcome.value
+        events.emit(events.BOOKING_RECORDED, outcome=outcome, **fields)
+    else:
+        reason = decision.verdict.value
+        events.emit(events.BOOKING_REFUSED, reason=reason, **fields)
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -200,3 +200,59 @@
 
     code = "platform"
     status = 503
+
+
+class TicketFormatError(TicketError):
+    """A ticket's text can't be read."""
+
+    code = "ticket_format"
+
+
+class TicketVersionError(TicketError):
+    """A ticket has a version that this instance does not know."""
+
+    code = "ticket_version"
+
+
+class TicketSignatureError(TicketError):
+    """A ticket is not signed with the fleet key."""
+
+    code = "ticket_signature"
+
+
+class TicketBodyError(TicketError):
+    """A ticket was first used with another body; this body never runs."""
+
+    code = "ticket_body"
+    status = 409
+
+
+class TicketsFullError(RefusedError):
+    """The owner's table has no room for another ticket."""
+
+    code = "tickets_full"
+
+
+class RunStoppedError(FilbertshelfError):
+    """A booking must not be written to a target."""
+
+    code = "run_stopped"
+    status = 503
+
+
+class DeadlinePassedError(RunStoppedError):
+    """The deadline passed before the booking was written."""
+
+    code = "deadline_passed"
+
+
+class PausedError(RunStoppedError):
+    """The process was paused before the booking was written."""
+
+    code = "paused"
+
+
+class SecondWriteError(RunStoppedError):
+    """An earlier write of the same booking is not known to be without effect."""
+
+    code = "second_write"
--- /dev/null
+++ b/filbertshelf/protocol/bookings.py
@@ -0,0 +1,161 @@
+"""Requests that run at most once, and the messages about them between instances."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import cattrs
+import cbor2
+
+from filbertshelf.errors import MessageError
+from filbertshelf.state.outcome import Answer
+from filbertshelf.state.tickets import Address, FinalExport, FinalRecord, Owner
+
+_CONVERTER = cattrs.Converter()
+
+
+@attrs.frozen
+class BookingRequest:
+    """One non-idempotent request to one shard of one service."""
+
+    request_id: str
+    caller: str
+    labels: Mapping[str, str]
+    service: str
+    shard: str
+    body: Any
+
+    def digest(self) -> bytes:
+        """Return a hash of what the ticket is bound to.
+
+        The request id and the labels may differ in a resend.
+        """
+        bound = [self.caller, self.service, self.shard, self.body]
+        text = json.dumps(bound, sort_keys=True, separators=(",", ":"))
+        return hashlib.sha256(text.encode()).digest()
+
+
+@attrs.frozen
+class ForwardBooking:
+    """A booking on its way to the ticket's owner; the rest of its deadline in ms."""
+
+    ticket: str
+    request: bytes
+    deadline_ms: int
+
+
+@attrs.frozen
+class BookingResult:
+    """The owner's reply: the name of a verdict, and the outcome if recorded."""
+
+    verdict: str
+    outcome: bytes = b""
+
+
+@attrs.frozen
+class HandoffRecord:
+    """One used ticket; an empty outcome is unknown."""
+
+    ticket_id: str
+    digest: bytes
+    outcome: bytes
+
+
+@attrs.frozen
+class TicketHandoff:
+    """One part of an owner's final table."""
+
+    export_id: str
+    owner_id: str
+    address: Address
+    incarnation: int
+    nonce: str
+    covers_after_ms: int
+    keep_ms: int
+    part: int
+    parts: int
+    records: tuple[HandoffRecord, ...]
+
+
+@attrs.frozen
+class HandoffReply:
+    """Whether the receiver holds the part."""
+
+    accepted: bool
+
+
+@attrs.frozen
+class AskFinal:
+    """A question to a peer that may hold the final table of the ticket's owner."""
+
+    ticket: str
+    digest: bytes
+
+
+@attrs.frozen
+class FinalReply:
+    """The name of the final table's verdict, and the outcome if recorded."""
+
+    verdict: str
+    outcome: bytes = b""
+
+
+def handoff_message(export: FinalExport, part: int, parts: int) -> TicketHandoff:
+    """Return the message that carries one part of a final table."""
+    owner = export.owner
+    return TicketHandoff(
+        export_id=export.id,
+        owner_id=owner.id,
+        address=owner.address,
+        incarnation=owner.incarnation,
+        nonce=owner.nonce,
+        covers_after_ms=export.covers_after_ms,
+        keep_ms=export.keep_ms,
+        part=part,
+        parts=parts,
+        records=tuple(
+            HandoffRecord(record.ticket_id, record.digest, record.outcome)
+            for record in export.records
+        ),
+    )
+
+
+def read_handoff(msg: TicketHandoff) -> FinalExport:
+    """Return the part of a final table that the message carries."""
+    owner = Owner(msg.owner_id, msg.address, msg.incarnation, msg.nonce)
+    records = tuple(
+        FinalRecord(record.ticket_id, record.digest, record.outcome)
+        for record in msg.records
+    )
+    return FinalExport(msg.export_id, owner, msg.covers_after_ms, msg.keep_ms, records)
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Return the answer as CBOR."""
+    return cbor2.dumps(_CONVERTER.unstructure(answer))
+
+
+def decode_answer(data: bytes) -> Answer:
+    """Return the answer; raises `MessageError` if it can't be read."""
+    return _decode(data, Answer)
+
+
+def encode_request(request: BookingRequest) -> bytes:
+    """Return the request as CBOR."""
+    return cbor2.dumps(_CONVERTER.unstructure(request))
+
+
+def decode_request(data: bytes) -> BookingRequest:
+    """Return the request; raises `MessageError` if it can't be read."""
+    return _decode(data, BookingRequest)
+
+
+def _decode(data: bytes, kind: type) -> Any:
+    try:
+        return _CONVERTER.structure(cbor2.loads(data), kind)
+    except (cbor2.CBORDecodeError, cattrs.BaseValidationError, ValueError) as exc:
+        raise MessageError(f"the {kind.__name__} can't be read: {exc}") from exc
