--- a/filbertshelf/standins/target_host.py
+++ b/filbertshelf/standins/target_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
@@ -32,7 +31,7 @@
     targets: tuple[TargetConfig, ...]
     admin_listen: str = "127.0.0.1:0"
     ready_file: str = ""
-    """Path of a JSON file with the bound addresses; empty for none."""
+    """Path for the process to write its `addresses` to; empty for none."""
 
 
 @attrs.frozen(kw_only=True)
@@ -66,11 +65,6 @@
     path.write_text(json.dumps(_CONVERTER.unstructure(cfg)))
 
 
-def load_addresses(path: Path) -> Addresses:
-    """Return the addresses that a host wrote to its ready file."""
-    return _CONVERTER.structure(json.loads(path.read_text()), Addresses)
-
-
 class TargetHost(Service):
     """Runs targets and serves `/admin/...` for all of them.
 
@@ -91,12 +85,10 @@
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
-        """Start all targets and the admin server, then write the ready file."""
+        """Start all targets and the admin server."""
         for target in self.targets.values():
             await target.start()
         await self._start_admin()
-        if self.cfg.ready_file:
-            self._write_ready_file()
 
     async def on_stop(self) -> None:
         """Stop the admin server and all targets."""
@@ -124,13 +116,6 @@
         bound = self._runner.addresses[0]
         self.admin_address = f"{bound[0]}:{bound[1]}"
 
-    def _write_ready_file(self) -> None:
-        # Written under another name first, so that a reader never sees half a file.
-        path = Path(self.cfg.ready_file)
-        part = path.with_name(path.name + ".part")
-        part.write_text(json.dumps(_CONVERTER.unstructure(self.addresses())))
-        os.replace(part, path)
-
     def _selected(self, names: object) -> Iterable[TargetStandin]:
         if names is None:
             return list(self.targets.values())
