--- /dev/null
+++ b/filbertshelf/commands/check.py
@@ -0,0 +1,55 @@
+"""The subcommands that check settings and publications."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from pathlib import Path
+from typing import Any
+
+from filbertshelf.errors import Problem, PublicationError
+from filbertshelf.settings import load_settings
+from filbertshelf.state.publication import Publication, parse_publication
+
+
+def add(subparsers: argparse._SubParsersAction) -> None:
+    """Add the subcommands."""
+    parser = subparsers.add_parser("check-settings", help="check an INI file")
+    parser.add_argument("settings", type=Path)
+    parser.set_defaults(handler=check_settings)
+    parser = subparsers.add_parser("check-publication", help="check a JSON file")
+    parser.add_argument("publication", type=Path)
+    parser.set_defaults(handler=check_publication)
+
+
+def check_settings(args: argparse.Namespace) -> int:
+    """Say whether the settings are valid."""
+    cfg = load_settings(args.settings)
+    print(f"{args.settings}: valid settings of instance {cfg.name}")
+    return 0
+
+
+def check_publication(args: argparse.Namespace) -> int:
+    """Say whether the publication is valid."""
+    found = read_publication(args.publication)
+    print(
+        f"{args.publication}: valid publication with {len(found.services)} services, "
+        f"{len(found.targets)} targets and {len(found.policies)} policies"
+    )
+    return 0
+
+
+def read_publication(path: Path) -> Publication:
+    """Return the publication in a JSON file.
+
+    Raises `PublicationError` with all problems.
+    """
+    return parse_publication(_read_json(path))
+
+
+def _read_json(path: Path) -> Any:
+    try:
+        return json.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as exc:
+        problem = Problem("file", str(path), str(exc), "name a readable JSON file")
+        raise PublicationError([problem]) from exc
--- /dev/null
+++ b/filbertshelf/coordination/instance.py
@@ -0,0 +1,304 @@
+"""One instance: assembles its services, watches for pauses and stops gracefully."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+import attrs
+import mode
+
+from filbertshelf import events
+from filbertshelf.clock import Clock, SystemClock
+from filbertshelf.coordination.bookings import Bookings
+from filbertshelf.coordination.configuration import Configuration
+from filbertshelf.coordination.membership import Membership
+from filbertshelf.coordination.notices import Notices
+from filbertshelf.coordination.queries import Queries
+from filbertshelf.coordination.rates import Rates
+from filbertshelf.coordination.runner import BookingPlanner, BookingRunner
+from filbertshelf.coordination.targets import DrainSource, Targets
+from filbertshelf.errors import NotReadyError, TicketRequiredError
+from filbertshelf.logs import LogFile
+from filbertshelf.metrics import make_metrics
+from filbertshelf.protocol.bookings import BookingRequest
+from filbertshelf.protocol.caller import CallerRequest
+from filbertshelf.protocol.notices import Topic
+from filbertshelf.protocol.platform import CONFIG, INSTANCES, RowKind, RowState
+from filbertshelf.settings import Settings
+from filbertshelf.state.members import Address, Identity, Status
+from filbertshelf.state.outcome import Answer
+from filbertshelf.state.pause import PauseGuard
+from filbertshelf.state.quarantine import Quarantine
+from filbertshelf.state.tickets import FinalTable, TicketTable
+from filbertshelf.transport.entry import EntryServer
+from filbertshelf.transport.peers import Peers
+from filbertshelf.transport.platform import PlatformClient
+
+PAUSE_TICKS = 8  # Ticks within one pause threshold.
+DRAIN_NOTICE_S = 60.0
+BOOKING_DEADLINE_MS = 10_000
+HANDOFF_SHARE = 0.5  # Of the drain timeout, for bookings that still run.
+
+
+@attrs.frozen
+class LivePeers:
+    """The members that a ticket table may be handed to."""
+
+    membership: Membership
+
+    def peers(self) -> Mapping[str, Address]:
+        """Return the peer address by id of the other members that are alive."""
+        own = self.membership.own.id
+        return {
+            member.id: member.address
+            for member in self.membership.members()
+            if member.id != own and member.status is Status.ALIVE
+        }
+
+
+class Instance(mode.Service):
+    """A whole instance; it is ready once its configuration is confirmed."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ):
+        super().__init__()
+        self.cfg = cfg
+        self.clock = clock or SystemClock()
+        self._rng = rng or random.Random()
+        self._metrics = make_metrics(cfg)
+        self._guard = PauseGuard(self.clock, cfg.pause_threshold)
+        self._client = PlatformClient(cfg.platform)
+        identity = Identity.start(cfg.name, cfg.data_centre, self.clock)
+        self.log_file = LogFile(cfg)
+        self.peers = Peers(cfg, identity, self.clock)
+        self.membership = Membership(cfg, identity, self.clock, self.peers, self._rng)
+        self.configuration = Configuration(
+            cfg, self.clock, self._client, self.peers, self.membership, self._rng
+        )
+        self.notices = Notices(self.peers, self.membership)
+        self.quarantine = Quarantine(self.clock, cfg.fleet_key.encode())
+        self.targets = Targets(
+            cfg,
+            self.clock,
+            self._rng,
+            self._metrics,
+            self._announce_drain,
+            self._target_died,
+        )
+        self.queries = Queries(
+            cfg,
+            self.clock,
+            self._metrics,
+            self.configuration,
+            self.targets,
+            self.quarantine,
+            Rates(self.clock, self.peers, self.membership),
+            self.check_confirmed,
+        )
+        self.entry = EntryServer(cfg, self, self._metrics)
+        self.bookings: Bookings | None = None
+        self._identity = identity
+        self._was_ready = False
+        self.notices.subscribe(Topic.TARGET_DRAINING, self._on_drain_notice)
+        self.notices.subscribe(Topic.QUERY_CONVICTED, self._on_conviction_notice)
+        self.configuration.subscribe(self._on_document)
+
+    def bound(self) -> Mapping[str, object]:
+        """Return the addresses that the system chose."""
+        return {
+            "name": self.cfg.name,
+            "address": "{}:{}".format(*self.entry.address),
+            "peer_address": "{}:{}".format(*self.peers.address),
+        }
+
+    async def on_start(self) -> None:
+        """Start the services; callers are accepted last."""
+        await self.add_runtime_dependency(self.log_file)
+        await self.add_runtime_dependency(self.peers)
+        self.bookings = self._make_bookings()
+        for service in (
+            self.membership,
+            self.notices,
+            self.targets,
+            self.configuration,
+            self.entry,
+        ):
+            await self.add_runtime_dependency(service)
+        events.emit(
+            events.STARTED,
+            instance=self.cfg.name,
+            incarnation=self._identity.incarnation,
+            address="{}:{}".format(*self.entry.address),
+            peer_address="{}:{}".format(*self.peers.address),
+            data_centre=self.cfg.data_centre,
+        )
+
+    def _make_bookings(self) -> Bookings:
+        # The table names the peer address, which is known once the server listens.
+        table = TicketTable(
+            self.cfg,
+            self.clock,
+            self.cfg.name,
+            self.peers.address,
+            self._identity.incarnation,
+        )
+        planner = BookingPlanner(self.queries)
+        return Bookings(
+            self.cfg,
+            self.clock,
+            table,
+            FinalTable(self.clock),
+            self.peers,
+            LivePeers(self.membership),
+            planner,
+            BookingRunner(planner, self.targets),
+            self._guard,
+        )
+
+    async def on_stop(self) -> None:
+        """Refuse new work, finish what is in flight, hand over, and leave."""
+        timeout = self.cfg.drain_timeout
+        events.emit(events.STOPPING, in_flight=self.entry.in_flight)
+        await self.membership.leave()
+        if self.bookings is not None:
+            await self.bookings.leave(timeout * HANDOFF_SHARE)
+        left = await self.entry.drain(timeout)
+        events.emit(events.STOPPED, in_flight=left)
+
+    async def on_shutdown(self) -> None:
+        """Close the platform's connections."""
+        await self._client.close()
+
+    # What the entry server calls.
+
+    async def query(self, request_id: str, req: CallerRequest) -> Answer:
+        """Return the answer to a query; raises `UserError` if it is refused."""
+        return await self.queries.answer(request_id, req)
+
+    async def book(self, request_id: str, req: CallerRequest) -> Answer:
+        """Return the outcome of a booking; raises `UserError` if it is refused."""
+        if not req.ticket:
+            raise TicketRequiredError(
+                "the booking has no ticket",
+                "get one with POST /v1/tickets and send it in the field 'ticket'",
+            )
+        request = BookingRequest(
+            request_id,
+            req.caller,
+            {**req.labels, "urgency": str(req.urgency)},
+            req.labels.get("service", ""),
+            req.labels.get("shard", ""),
+            dict(req.body),
+        )
+        deadline_ms = req.deadline_ms or BOOKING_DEADLINE_MS
+        deadline = self.clock.monotonic() + deadline_ms / 1000
+        return await self.bookings.submit(req.ticket, request, deadline)
+
+    def mint(self) -> str:
+        """Return a new ticket; raises `UserError` if none can be given."""
+        self.check_confirmed()
+        return self.bookings.mint()
+
+    def ready(self) -> bool:
+        """Return whether the instance accepts requests."""
+        return self.configuration.ready and not self._guard.check()
+
+    def status(self) -> dict:
+        """Return what an operator may want to see."""
+        version = self.configuration.version
+        return {
+            "instance": self.cfg.name,
+            "ready": self.ready(),
+            "configuration": {"revision": version.revision, "digest": str(version)},
+            "watches_platform": self.configuration.watching,
+            "members": {m.id: m.status.name.lower() for m in self.membership.members()},
+            "queries": {
+                "running": self.queries.admission.running,
+                "waiting": self.queries.admission.waiting,
+            },
+            "targets": {
+                name: {
+                    "in_flight": state.in_flight,
+                    "draining": state.draining,
+                    "breaker": state.breaker.value,
+                    "latency_ms": round(state.latency_s * 1000, 2),
+                }
+                for name, state in self.targets.states().items()
+            },
+        }
+
+    # Pauses.
+
+    def check_confirmed(self) -> None:
+        """Raise `NotReadyError` after a pause until the configuration is confirmed."""
+        if self._guard.check() or not self.configuration.ready:
+            raise NotReadyError(
+                "this instance has no confirmed configuration",
+                "send the request to another instance or wait a few seconds",
+            )
+
+    @mode.Service.task
+    async def _watch_pauses(self) -> None:
+        period = self.cfg.pause_threshold / PAUSE_TICKS
+        while not self.should_stop:
+            await self.clock.sleep(period)
+            self._note_pause()
+            self._note_ready()
+
+    def _note_pause(self) -> None:
+        paused = self._guard.check()
+        if not paused:
+            self._guard.tick()
+            return
+        events.emit(events.PAUSED, paused_s=round(paused, 3))
+        # The configuration withdraws its readiness before the pause is forgotten.
+        self.configuration.confirm_needed()
+        self.membership.raise_incarnation()
+        self._guard.acknowledge()
+
+    def _note_ready(self) -> None:
+        ready = self.configuration.ready
+        if ready and not self._was_ready:
+            events.emit(events.READY, reason=f"version {self.configuration.version}")
+        self._was_ready = ready
+
+    # Documents and notices.
+
+    def _on_document(self, document: str) -> None:
+        publication = self.configuration.publication
+        if document == CONFIG and publication is not None:
+            self.targets.publish(publication)
+        elif document == INSTANCES:
+            leaving = {
+                name
+                for name, row in self.configuration.instances().items()
+                if row.kind is RowKind.TARGET and row.state is RowState.LEAVING
+            }
+            self.targets.apply_list(leaving)
+
+    def _announce_drain(self, target: str) -> None:
+        self.notices.broadcast(Topic.TARGET_DRAINING, target, DRAIN_NOTICE_S)
+
+    def _on_drain_notice(self, target: str, _seconds: float) -> None:
+        self.targets.drain(target, DrainSource.NOTICE)
+
+    def _target_died(self, target: str) -> None:
+        for conviction in self.quarantine.target_died(target):
+            self._log_conviction(conviction.fingerprint, target, conviction.seconds)
+            self.notices.broadcast(
+                Topic.QUERY_CONVICTED, conviction.fingerprint, conviction.seconds
+            )
+
+    def _on_conviction_notice(self, fingerprint: str, seconds: float) -> None:
+        self.quarantine.convict(fingerprint, seconds)
+        self._log_conviction(fingerprint, "notice of a peer", seconds)
+
+    def _log_conviction(self, fingerprint: str, source: str, seconds: float) -> None:
+        events.emit(
+            events.CONVICTED, fingerprint=fingerprint, source=source, seconds=seconds
+        )
--- /dev/null
+++ b/filbertshelf/coordination/rates.py
@@ -0,0 +1,81 @@
+"""Fleet-wide rate limits: the own shares and tokens that move between instances."""
+
+from __future__ import annotations
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.coordination.membership import Membership
+from filbertshelf.errors import FilbertshelfError, RateLimitError
+from filbertshelf.protocol.notices import AskTokens, Tokens
+from filbertshelf.state.limits import RateShare
+from filbertshelf.state.publication import Policy, Publication
+from filbertshelf.transport.peers import Peers, Sender
+
+ASK_TIMEOUT_S = 0.1
+ASK_SECONDS = 0.1  # Tokens for this much of the own share are asked for at a time.
+ASK_PAUSE_S = 0.05  # After an answer without tokens.
+
+
+class Rates:
+    """Owns this instance's share of each policy's rate."""
+
+    def __init__(self, clock: Clock, peers: Peers, membership: Membership):
+        self._clock = clock
+        self._peers = peers
+        self._membership = membership
+        self._shares: dict[str, RateShare] = {}
+        self._not_before: dict[str, float] = {}
+        peers.register(AskTokens, self._on_ask)
+
+    async def take(self, policy: Policy, publication: Publication) -> None:
+        """Take one token of the policy's rate.
+
+        Raises `RateLimitError` if neither this instance nor the peer that it asks
+        has one.
+        """
+        if not policy.rate_per_s:
+            return
+        share = self._share(policy, publication)
+        if share.take() or (await self._borrow(policy, share) and share.take()):
+            return
+        raise RateLimitError(
+            f"the rate of policy {policy.name!r} is used up at this instance",
+            "send fewer requests, or raise the policy's rate_per_s",
+        )
+
+    def _share(self, policy: Policy, publication: Publication) -> RateShare:
+        share = self._shares.get(policy.name)
+        if share is None:
+            share = RateShare(policy.rate_per_s, publication.fleet, self._clock)
+            self._shares[policy.name] = share
+        seen = self._membership.size_seen()
+        share.configure(policy.rate_per_s, publication.fleet, seen)
+        return share
+
+    async def _borrow(self, policy: Policy, share: RateShare) -> bool:
+        now = self._clock.monotonic()
+        if now < self._not_before.get(policy.name, 0.0):
+            return False
+        # Only one request at a time asks, so that a refusal stays cheap.
+        self._not_before[policy.name] = now + ASK_TIMEOUT_S + ASK_PAUSE_S
+        for member in self._membership.random_peers(1):
+            ask = AskTokens(policy.name, max(1.0, share.share * ASK_SECONDS))
+            try:
+                reply = await self._peers.request(member.address, ask, ASK_TIMEOUT_S)
+            except FilbertshelfError:
+                return False
+            age = self._clock.monotonic() - now
+            if isinstance(reply, Tokens) and share.receive(reply.tokens, age) > 0:
+                self._not_before[policy.name] = 0.0
+                events.emit(
+                    events.RATE_TOKENS_MOVED,
+                    policy=policy.name,
+                    peer=member.id,
+                    tokens=reply.tokens,
+                )
+                return True
+        return False
+
+    async def _on_ask(self, _sender: Sender, msg: AskTokens) -> Tokens:
+        share = self._shares.get(msg.policy)
+        return Tokens(share.give(msg.tokens) if share is not None else 0.0)
--- /dev/null
+++ b/filbertshelf/coordination/scatter.py
@@ -0,0 +1,421 @@
+"""One round of sub-requests to all shards of a plan."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import enum
+import heapq
+import itertools
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import attrs
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.coordination.targets import Targets
+from filbertshelf.state.budgets import LatencyWindow, TokenBudget, hedge_delay
+from filbertshelf.state.outcome import Attempt, Coverage, Missing, Reason, Result
+from filbertshelf.state.plan import Plan, ShardRef
+from filbertshelf.state.publication import Goal
+from filbertshelf.state.quarantine import Quarantine, Verdict
+from filbertshelf.state.replicas import Choice
+from filbertshelf.transport.targets import Call
+
+MAX_ATTEMPTS = 4  # Per shard, hedged requests included.
+TAIL_SHARE = 0.9  # Share of shards that must answer before an early partial answer.
+BACKOFF_S = 0.02  # Before a replica that shed load is asked again.
+SOFT_TIMEOUT_SHARE = 1 / 3  # Of the time left, before a silent replica is retried.
+CANARY_SHARE = 1 / 4  # Of the time left that a silent canary may hold up the rest.
+
+# Refusals that are known not to have run and don't repeat on the same replica, so
+# that retries after them are bounded by the number of replicas.
+_FREE_RETRY = frozenset(
+    {
+        Reason.DRAINING,
+        Reason.OTHER_SNAPSHOT,
+        Reason.CONNECT_FAILED,
+        Reason.NO_REPLICA,
+    }
+)
+# Reasons that can mean that the pinned snapshot has no holder left.
+_SNAPSHOT_GONE = frozenset({Reason.OTHER_SNAPSHOT, Reason.NO_REPLICA, Reason.DRAINING})
+# Refusals after which the same replica may be asked again.
+_PASSING = frozenset({Reason.OVERLOADED, Reason.COLD})
+
+
+class Timer(enum.Enum):
+    """What is due for a shard at a set time."""
+
+    HEDGE = "hedge"
+    SOFT_TIMEOUT = "soft timeout"
+    RETRY = "retry after backoff"
+    QUARANTINE = "retry when the quarantine allows it"
+
+
+@attrs.define(eq=False)
+class ShardRun:
+    """The progress of one shard."""
+
+    index: int
+    ref: ShardRef
+    tried: set[str] = attrs.field(factory=set)
+    calls: dict[Call, str] = attrs.field(factory=dict)
+    attempts: int = 0
+    answer: Mapping[str, Any] | None = None
+    reason: Reason = Reason.TIMEOUT
+    closed: bool = False
+
+
+@attrs.frozen
+class Budgets:
+    """What all queries of an instance share."""
+
+    retry: TokenBudget
+    hedge: TokenBudget
+    latencies: Callable[[str], LatencyWindow]
+
+
+class Shared(Protocol):
+    """What a round needs of the instance."""
+
+    clock: Clock
+    targets: Targets
+    budgets: Budgets
+    quarantine: Quarantine
+    adaptive: bool
+
+    def busy(self) -> bool:
+        """Return whether requests wait for admission."""
+
+
+@attrs.frozen
+class Job:
+    """What a round has to do; the deadline is in monotonic seconds."""
+
+    request_id: str
+    plan: Plan
+    body: bytes
+    fingerprint: str
+    deadline: float
+    check: Callable[[], None]
+    newer_snapshot: Callable[[], bool] = lambda: False
+
+
+class Scatter:
+    """Runs one round; its state belongs to the task that awaits `run`."""
+
+    def __init__(self, shared: Shared, job: Job):
+        self._shared = shared
+        self._job = job
+        self._clock = shared.clock
+        self._runs = [ShardRun(i, ref) for i, ref in enumerate(job.plan.shards)]
+        self._held: list[ShardRun] = []
+        self._canary: ShardRun | None = None
+        self._open = len(self._runs)
+        self._timers: list[tuple[float, int, Timer, ShardRun]] = []
+        self._order = itertools.count()
+        self._ended: collections.deque[tuple[ShardRun, Call, Attempt]] = (
+            collections.deque()
+        )
+        self._wake: asyncio.Future | None = None
+        self._started_at = self._clock.monotonic()
+        self.attempts: list[Attempt] = []
+        self.sub_requests = 0
+        self.convicted = False
+        self._abandoned = False
+        self._released = False
+
+    async def run(self) -> None:
+        """Return when no shard is open, or when waiting longer is not worth it."""
+        try:
+            self._begin()
+            await self._loop()
+        finally:
+            self._cancel_all()
+
+    async def _loop(self) -> None:
+        while True:
+            self._take_ended()
+            now = self._clock.monotonic()
+            self._fire_timers(now)
+            if not self._open or self.convicted or self._abandoned:
+                return
+            stop_at = self._stop_at()
+            if now >= stop_at:
+                self._log_stop(stop_at)
+                return
+            due = self._timers[0][0] if self._timers else stop_at
+            await self._wait(min(due, stop_at) - now)
+
+    def answers(self) -> list[tuple[str, str, Mapping[str, Any]]]:
+        """Return (service, shard, answer) for each shard that answered."""
+        return [
+            (run.ref.service, run.ref.shard, run.answer)
+            for run in self._runs
+            if run.answer is not None
+        ]
+
+    def coverage(self) -> Coverage:
+        """Return which shards of the plan answered and which are missing."""
+        missing = tuple(
+            Missing(run.ref.service, run.ref.shard, run.reason)
+            for run in self._runs
+            if run.answer is None
+        )
+        return Coverage(len(self._runs), len(self._runs) - len(missing), missing)
+
+    def lost_snapshot(self) -> bool:
+        """Return whether a shard is missing because no replica has the snapshot."""
+        return any(run.closed and run.reason in _SNAPSHOT_GONE for run in self._runs)
+
+    def other_snapshot(self) -> bool:
+        """Return whether a target refused because it has another snapshot."""
+        return any(
+            run.closed and run.reason is Reason.OTHER_SNAPSHOT for run in self._runs
+        )
+
+    # Start and canary
+
+    def _begin(self) -> None:
+        verdict = self._shared.quarantine.verdict(self._job.fingerprint)
+        careful = verdict is Verdict.GUARDED or (
+            verdict is Verdict.CANARY and self._job.plan.policy.canary
+        )
+        if not (careful and self._shared.adaptive and self._runs):
+            for run in self._runs:
+                self._attempt(run, "first attempt")
+            return
+        events.emit(
+            events.CANARY_STARTED,
+            request_id=self._job.request_id,
+            fingerprint=self._job.fingerprint,
+            verdict=verdict.name.lower(),
+        )
+        self._canary, *self._held = self._runs
+        left = self._job.deadline - self._started_at
+        self._add_timer(left * CANARY_SHARE, Timer.SOFT_TIMEOUT, self._canary)
+        self._attempt(self._canary, "canary")
+
+    def _release(self) -> None:
+        """Start the shards that waited for the canary."""
+        self._released = True
+        held, self._held = self._held, []
+        for run in held:
+            self._attempt(run, "first attempt")
+
+    # Attempts
+
+    def _attempt(self, run: ShardRun, why: str) -> None:
+        """Send one sub-request for the shard, or close the shard."""
+        allowed = [name for name in run.ref.replicas if self._may_start(name)]
+        choice = self._shared.targets.choose(allowed, run.tried)
+        if choice is not None:
+            self._log_choice(run, choice, why)
+            self._submit(run, choice.target)
+        elif len(allowed) < len(run.ref.replicas):
+            self._add_timer(BACKOFF_S, Timer.QUARANTINE, run)
+        else:
+            self._give_up(run)
+
+    def _may_start(self, target: str) -> bool:
+        if not self._shared.adaptive:
+            return True
+        canary = self._canary is not None and not self._released
+        return self._shared.quarantine.may_start(target, self._job.fingerprint, canary)
+
+    def _log_choice(self, run: ShardRun, choice: Choice, why: str) -> None:
+        events.emit(
+            events.REPLICA_CHOSEN,
+            request_id=self._job.request_id,
+            service=run.ref.service,
+            shard=run.ref.shard,
+            target=choice.target,
+            attempt=run.attempts + 1,
+            reason=f"{why}: {choice.reason}",
+        )
+
+    def _submit(self, run: ShardRun, target: str) -> None:
+        run.attempts += 1
+        run.tried.add(target)
+        self.sub_requests += 1
+        call = Call(
+            f"{self._job.request_id}.{run.index}.{run.attempts}",
+            run.ref,
+            "search",
+            self._job.body,
+            self._job.deadline,
+            lambda call, attempt: self._on_end(run, call, attempt),
+            self._job.check,
+        )
+        run.calls[call] = target
+        self._shared.quarantine.started(target, self._job.fingerprint)
+        if run.attempts == 1:
+            self._schedule(run)
+        self._shared.targets.submit(target, call)
+
+    def _schedule(self, run: ShardRun) -> None:
+        left = self._job.deadline - self._clock.monotonic()
+        window = self._shared.budgets.latencies(run.ref.service)
+        delay = hedge_delay(window, left)
+        if delay is not None and self._job.plan.policy.hedge and self._shared.adaptive:
+            self._add_timer(delay, Timer.HEDGE, run)
+        if run is not self._canary:
+            self._add_timer(left * SOFT_TIMEOUT_SHARE, Timer.SOFT_TIMEOUT, run)
+
+    def _give_up(self, run: ShardRun) -> None:
+        """Close the shard unless an attempt is still running."""
+        if run.calls or run.closed or run.answer is not None:
+            return
+        if not run.attempts:
+            run.reason = Reason.NO_REPLICA
+        run.closed = True
+        self._open -= 1
+        if run.reason in _SNAPSHOT_GONE and self._job.newer_snapshot():
+            self._abandoned = True
+        if run is self._canary:
+            self._release()
+
+    # Ends of attempts
+
+    def _on_end(self, run: ShardRun, call: Call, attempt: Attempt) -> None:
+        answered = attempt.result is Result.ANSWERED
+        self._shared.quarantine.finished(
+            attempt.target, self._job.fingerprint, answered
+        )
+        self._ended.append((run, call, attempt))
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    def _take_ended(self) -> None:
+        while self._ended:
+            run, call, attempt = self._ended.popleft()
+            run.calls.pop(call, None)
+            self.attempts.append(attempt)
+            if run.answer is not None or run.closed:
+                continue
+            if attempt.result is Result.ANSWERED:
+                self._accept(run, attempt)
+            else:
+                self._failed(run, attempt)
+
+    def _accept(self, run: ShardRun, attempt: Attempt) -> None:
+        run.answer = attempt.answer
+        self._open -= 1
+        self._shared.budgets.latencies(run.ref.service).record(attempt.latency)
+        self._shared.budgets.retry.deposit()
+        self._shared.budgets.hedge.deposit()
+        for call, target in run.calls.items():
+            self._shared.targets.cancel(target, call)
+        self._release()
+
+    def _failed(self, run: ShardRun, attempt: Attempt) -> None:
+        run.reason = attempt.reason
+        events.emit(
+            events.ATTEMPT_FAILED,
+            request_id=self._job.request_id,
+            service=run.ref.service,
+            shard=run.ref.shard,
+            target=attempt.target,
+            result=attempt.result.value,
+            reason=attempt.reason.value,
+        )
+        verdict = self._shared.quarantine.verdict(self._job.fingerprint)
+        if verdict is Verdict.CONVICTED and self._shared.adaptive:
+            self.convicted = True
+            return
+        if run is self._canary and attempt.reason is not Reason.CONNECTION_LOST:
+            self._release()
+        if not run.calls:
+            self._retry(run, attempt)
+
+    def _retry(self, run: ShardRun, attempt: Attempt) -> None:
+        if run.attempts >= MAX_ATTEMPTS:
+            self._give_up(run)
+        elif attempt.reason in _PASSING:
+            run.tried.discard(attempt.target)
+            self._add_timer(BACKOFF_S * run.attempts, Timer.RETRY, run)
+        elif attempt.reason in _FREE_RETRY or self._may_retry():
+            self._attempt(run, f"retry after {attempt.reason.value}")
+        else:
+            self._give_up(run)
+
+    def _may_retry(self) -> bool:
+        # The baseline retries without a budget.
+        return not self._shared.adaptive or self._shared.budgets.retry.try_spend()
+
+    # Timers
+
+    def _add_timer(self, delay: float, timer: Timer, run: ShardRun) -> None:
+        due = self._clock.monotonic() + delay
+        heapq.heappush(self._timers, (due, next(self._order), timer, run))
+
+    def _fire_timers(self, now: float) -> None:
+        while self._timers and self._timers[0][0] <= now:
+            _due, _order, timer, run = heapq.heappop(self._timers)
+            if run.answer is None and not run.closed:
+                self._fire(timer, run)
+
+    def _fire(self, timer: Timer, run: ShardRun) -> None:
+        if timer in (Timer.RETRY, Timer.QUARANTINE):
+            if not run.calls:
+                self._retry_now(run, timer)
+            return
+        if run is self._canary and timer is Timer.SOFT_TIMEOUT:
+            self._release()
+        if len(run.calls) != 1 or run.attempts >= MAX_ATTEMPTS:
+            return
+        if timer is Timer.HEDGE:
+            if not self._shared.busy() and self._shared.budgets.hedge.try_spend():
+                self._attempt(run, timer.value)
+        elif self._may_retry():
+            self._attempt(run, timer.value)
+
+    def _retry_now(self, run: ShardRun, timer: Timer) -> None:
+        if timer is Timer.QUARANTINE or self._may_retry():
+            self._attempt(run, timer.value)
+        else:
+            self._give_up(run)
+
+    # Waiting and stopping
+
+    def _stop_at(self) -> float:
+        policy = self._job.plan.policy
+        early = self._started_at + policy.partial_after_ms / 1000
+        if policy.goal is Goal.TAIL and policy.partial_after_ms:
+            answered = sum(run.answer is not None for run in self._runs)
+            if answered >= TAIL_SHARE * len(self._runs):
+                return min(early, self._job.deadline)
+        return self._job.deadline
+
+    async def _wait(self, seconds: float) -> None:
+        if self._ended:
+            return
+        loop = asyncio.get_running_loop()
+        self._wake = loop.create_future()
+        handle = loop.call_later(max(seconds, 0), self._on_timer)
+        try:
+            await self._wake
+        finally:
+            handle.cancel()
+            self._wake = None
+
+    def _on_timer(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    def _log_stop(self, stop_at: float) -> None:
+        late = stop_at >= self._job.deadline
+        events.emit(
+            events.STOPPED_WAITING,
+            request_id=self._job.request_id,
+            outstanding=self._open,
+            reason="deadline" if late else "policy answers partial early",
+        )
+
+    def _cancel_all(self) -> None:
+        for run in self._runs:
+            run.closed = True
+            for call, target in list(run.calls.items()):
+                self._shared.targets.cancel(target, call)
--- a/filbertshelf/protocol/bookings.py
+++ b/filbertshelf/protocol/bookings.py
@@ -12,8 +12,10 @@
 import cbor2
 
 from filbertshelf.errors import MessageError
+from filbertshelf.protocol.messages import message
+from filbertshelf.state.members import Address
 from filbertshelf.state.outcome import Answer
-from filbertshelf.state.tickets import Address, FinalExport, FinalRecord, Owner
+from filbertshelf.state.tickets import FinalExport, FinalRecord, Owner
 
 _CONVERTER = cattrs.Converter()
 
@@ -39,6 +41,7 @@
         return hashlib.sha256(text.encode()).digest()
 
 
+@message("forward-booking")
 @attrs.frozen
 class ForwardBooking:
     """A booking on its way to the ticket's owner; the rest of its deadline in ms."""
@@ -48,6 +51,7 @@
     deadline_ms: int
 
 
+@message("booking-result")
 @attrs.frozen
 class BookingResult:
     """The owner's reply: the name of a verdict, and the outcome if recorded."""
@@ -65,6 +69,7 @@
     outcome: bytes
 
 
+@message("ticket-handoff")
 @attrs.frozen
 class TicketHandoff:
     """One part of an owner's final table."""
@@ -81,6 +86,7 @@
     records: tuple[HandoffRecord, ...]
 
 
+@message("handoff-reply")
 @attrs.frozen
 class HandoffReply:
     """Whether the receiver holds the part."""
@@ -88,6 +94,7 @@
     accepted: bool
 
 
+@message("ask-final")
 @attrs.frozen
 class AskFinal:
     """A question to a peer that may hold the final table of the ticket's owner."""
@@ -96,6 +103,7 @@
     digest: bytes
 
 
+@message("final-reply")
 @attrs.frozen
 class FinalReply:
     """The name of the final table's verdict, and the outcome if recorded."""
--- /dev/null
+++ b/filbertshelf/transport/entry.py
@@ -0,0 +1,200 @@
+"""The HTTP server for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import mode
+from aiohttp import web
+
+from filbertshelf import events
+from filbertshelf.errors import (
+    BodyTooLargeError,
+    FilbertshelfError,
+    StoppingError,
+    UserError,
+)
+from filbertshelf.metrics import Metrics
+from filbertshelf.protocol.caller import (
+    MAX_BODY_BYTES,
+    CallerRequest,
+    answer_doc,
+    answer_status,
+    error_doc,
+    parse_booking,
+    parse_query,
+)
+from filbertshelf.settings import Settings
+from filbertshelf.state.outcome import Answer
+
+READ_TIMEOUT_S = 10.0  # A caller that sends its body slower than this is refused.
+
+
+class Handler(Protocol):
+    """What the entry server needs of the instance."""
+
+    async def query(self, request_id: str, req: CallerRequest) -> Answer:
+        """Return the answer to a query."""
+
+    async def book(self, request_id: str, req: CallerRequest) -> Answer:
+        """Return the outcome of a booking."""
+
+    def mint(self) -> str:
+        """Return a new ticket."""
+
+    def ready(self) -> bool:
+        """Return whether the instance accepts requests."""
+
+    def status(self) -> dict:
+        """Return the state that an operator may look at."""
+
+
+class EntryServer(mode.Service):
+    """Accepts callers' requests and passes them to the handler."""
+
+    def __init__(self, cfg: Settings, handler: Handler, metrics: Metrics):
+        super().__init__()
+        self._cfg = cfg
+        self._handler = handler
+        self._metrics = metrics
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._stopping = False
+        self.in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.address: tuple[str, int] = cfg.listen
+
+    async def on_start(self) -> None:
+        """Listen on the settings' address; `address` tells the port."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post("/v1/query", self._query)
+        app.router.add_post("/v1/bookings", self._booking)
+        app.router.add_post("/v1/tickets", self._ticket)
+        app.router.add_get("/v1/health", self._health)
+        app.router.add_get("/v1/ready", self._ready)
+        app.router.add_get("/v1/status", self._status)
+        # A query whose caller has gone is cancelled; bookings run on by themselves.
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
+        )
+        await self._runner.setup()
+        host, port = self._cfg.listen
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+        self.address = self._runner.addresses[0][:2]
+
+    async def drain(self, timeout: float) -> int:
+        """Stop accepting and wait for requests in flight; return how many remain.
+
+        Kept connections stay open meanwhile: each gets a refusal or its answer with
+        `Connection: close`. `timeout` is in seconds.
+        """
+        self._stopping = True
+        if self._site is not None:
+            await self._site.stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
+        return self.in_flight
+
+    async def on_stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _query(self, req: web.Request) -> web.Response:
+        return await self._serve(req, parse_query, self._handler.query)
+
+    async def _booking(self, req: web.Request) -> web.Response:
+        return await self._serve(req, parse_booking, self._handler.book)
+
+    async def _serve(
+        self,
+        req: web.Request,
+        parse: Callable[[str, bytes], CallerRequest],
+        handle: Callable[[str, CallerRequest], Awaitable[Answer]],
+    ) -> web.Response:
+        request_id = uuid.uuid4().hex
+        caller = ""
+        self._enter()
+        try:
+            self._refuse_when_stopping()
+            parsed = parse(req.content_type, await _read(req))
+            caller = parsed.caller
+            answer = await handle(request_id, parsed)
+            return self._reply(answer_doc(answer), answer_status(answer))
+        except FilbertshelfError as exc:
+            return self._reject(request_id, caller, exc)
+        finally:
+            self._leave()
+
+    def _enter(self) -> None:
+        self.in_flight += 1
+        self._idle.clear()
+
+    def _leave(self) -> None:
+        self.in_flight -= 1
+        if not self.in_flight:
+            self._idle.set()
+
+    async def _ticket(self, _req: web.Request) -> web.Response:
+        try:
+            self._refuse_when_stopping()
+            return self._reply({"ticket": self._handler.mint()}, 201)
+        except FilbertshelfError as exc:
+            return self._reject("", "", exc)
+
+    async def _health(self, _req: web.Request) -> web.Response:
+        return self._reply({"alive": True}, 200)
+
+    async def _ready(self, _req: web.Request) -> web.Response:
+        ready = self._handler.ready() and not self._stopping
+        return self._reply({"ready": ready}, 200 if ready else 503)
+
+    async def _status(self, _req: web.Request) -> web.Response:
+        return self._reply(self._handler.status(), 200)
+
+    def _refuse_when_stopping(self) -> None:
+        if self._stopping:
+            raise StoppingError(
+                "this instance is shutting down", "send the request to another instance"
+            )
+
+    def _reject(
+        self, request_id: str, caller: str, exc: FilbertshelfError
+    ) -> web.Response:
+        self._metrics.incr(f"rejected.{exc.code}")
+        events.emit(
+            events.REQUEST_REJECTED,
+            request_id=request_id,
+            caller=caller,
+            code=exc.code,
+            reason=exc.message if isinstance(exc, UserError) else str(exc),
+        )
+        return self._reply(error_doc(request_id, exc), exc.status)
+
+    def _reply(self, doc: dict, status: int) -> web.Response:
+        resp = web.json_response(doc, status=status)
+        if self._stopping:
+            resp.force_close()
+        return resp
+
+
+async def _read(req: web.Request) -> bytes:
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            return await req.read()
+    except web.HTTPRequestEntityTooLarge as exc:
+        raise BodyTooLargeError(
+            f"the body is over {MAX_BODY_BYTES} bytes", "send a smaller request"
+        ) from exc
+    except TimeoutError as exc:
+        raise UserError(
+            f"the body did not arrive within {READ_TIMEOUT_S:g} s",
+            "send the request again over a faster connection",
+        ) from exc
