--- /dev/null
+++ b/test/conftest.py
@@ -0,0 +1,1 @@
+"""Puts this directory on the import path for modules that tests share."""
--- /dev/null
+++ b/test/coordination/fleet.py
@@ -0,0 +1,289 @@
+"""An in-memory fleet: instances, a faulty network and targets on one clock."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+
+from filbertshelf.clock import ManualClock
+from filbertshelf.coordination.bookings import Bookings, ShardChoice
+from filbertshelf.errors import (
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+from filbertshelf.protocol.bookings import BookingRequest
+from filbertshelf.settings import Settings
+from filbertshelf.state.outcome import Attempt, Reason, Result
+from filbertshelf.state.tickets import FinalTable, TableLimits, TicketTable
+from history import History
+
+CFG = Settings(
+    name="i0",
+    data_centre="bne-1",
+    fleet_key="0123456789abcdef",
+    platform=("127.0.0.1", 1),
+    ticket_lifetime=10.0,
+)
+LIMITS = TableLimits(keep_ms=8_000)
+# How long the fake pause detector reports a pause after it has ended, in seconds.
+PAUSE_SEEN = 0.3
+
+
+@attrs.frozen
+class Fates:
+    """The chances of what a target does with a write; the rest is answered."""
+
+    refused: float = 0.0
+    unreachable: float = 0.0
+    lost_after: float = 0.0
+    lost_before: float = 0.0
+
+
+class Instance:
+    """One process; while it is paused none of its sleeps and requests ends."""
+
+    def __init__(self, fleet: Fleet, number: int, incarnation: int):
+        self.fleet = fleet
+        self.id = f"i{number}"
+        self.address = ("127.0.0.1", 7000 + number)
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.gone = False
+        self.woken_at = -PAUSE_SEEN
+        self.leaving: asyncio.Task | None = None
+        self.handlers = {}
+        table = fleet.table(CFG, self, self.id, self.address, incarnation, LIMITS)
+        self.bookings = Bookings(
+            CFG, self, table, FinalTable(self), self, self, self, fleet.runner(self), self
+        )
+
+    # The clock.
+
+    def now(self):
+        return self.fleet.clock.now()
+
+    def monotonic(self) -> float:
+        return self.fleet.clock.monotonic()
+
+    async def sleep(self, seconds: float) -> None:
+        await self.fleet.clock.sleep(seconds)
+        await self.runs()
+
+    async def runs(self) -> None:
+        """Return when the process is not paused; never if it is gone."""
+        await self.awake.wait()
+        if self.gone:
+            await asyncio.get_running_loop().create_future()
+
+    # The pause detector.
+
+    def check(self) -> float:
+        return float(self.monotonic() < self.woken_at + PAUSE_SEEN)
+
+    # The members and the planner.
+
+    def peers(self):
+        others = self.fleet.instances
+        return {i.id: i.address for i in others if i is not self and not i.leaving}
+
+    def choose(self, request):
+        return ShardChoice(request.service, request.shard, "v1", 1, 1)
+
+    # The peer transport.
+
+    def register(self, message_class, handler):
+        self.handlers[message_class] = handler
+
+    async def request(self, address, msg, timeout):
+        started = self.monotonic()
+        call = asyncio.ensure_future(self.fleet.call(self, address, msg))
+        timer = asyncio.ensure_future(self.sleep(timeout))
+        await asyncio.wait({call, timer}, return_when=asyncio.FIRST_COMPLETED)
+        timer.cancel()
+        await self.runs()
+        if not call.done() or self.monotonic() >= started + timeout:
+            raise PeerTimeoutError(f"{address} gave no reply in time")
+        return call.result()
+
+    # What the test does to it.
+
+    def pause(self) -> None:
+        self.awake.clear()
+
+    def resume(self) -> None:
+        self.woken_at = self.monotonic()
+        self.awake.set()
+
+    async def leave(self) -> None:
+        """Leave gracefully; the process ends a moment after its hand-off."""
+        self.leaving = asyncio.current_task()
+        await self.bookings.leave(1.0)
+        await self.sleep(0.2)
+        self.gone = True
+
+
+class Runner:
+    """Obeys the contract of a runner against the fleet's targets."""
+
+    def __init__(self, instance: Instance):
+        self.instance = instance
+
+    async def run_once(self, request, ticket_id, choice, deadline, check):
+        attempts = []
+        for target in ("t0", "t1", "t2"):
+            await self.instance.sleep(self.instance.fleet.rng.uniform(0.0, 0.1))
+            check.before_write()
+            attempt = await self.write(target, request, deadline)
+            attempts.append(attempt)
+            if attempt.result is not Result.NOT_RUN:
+                break
+            check.not_run()
+        return attempts
+
+    async def write(self, target, request, deadline):
+        fleet, now = self.instance.fleet, self.instance.monotonic()
+        fate, fates = fleet.rng.random(), fleet.fates
+        if fate < fates.refused:
+            await self.instance.sleep(0.02)
+            return Attempt(target, Result.NOT_RUN, Reason.DRAINING)
+        fate -= fates.refused
+        if fate < fates.lost_before:
+            await self.instance.sleep(0.05)
+            return Attempt(target, Result.UNKNOWN, Reason.CONNECTION_LOST)
+        await fleet.clock.sleep(fleet.rng.uniform(0.0, fleet.target_delay))
+        fleet.history.executed(request.body["ticket"], now, deadline)
+        await self.instance.runs()
+        if fate - fates.lost_before < fates.lost_after:
+            return Attempt(target, Result.UNKNOWN, Reason.CONNECTION_LOST)
+        row = f"{target}/{fleet.rng.random()}"
+        return Attempt(target, Result.ANSWERED, answer=row)
+
+
+class Fleet:
+    """The instances, and the network between them."""
+
+    def __init__(self, seed, size=4, fates=None, table=TicketTable, runner=Runner):
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.history = History()
+        self.fates = fates or Fates()
+        self.target_delay = 0.2
+        self.lost = 0.0
+        self.delay = 0.05
+        self.side: dict[str, int] = {}
+        self.table = table
+        self.runner = runner
+        self.callers: set[asyncio.Task] = set()
+        self.instances = [Instance(self, number, 1) for number in range(size)]
+
+    def replace(self, number: int, incarnation: int = 2) -> None:
+        """End the process without notice and start another at its address."""
+        self.instances[number].gone = True
+        self.instances[number] = Instance(self, number, incarnation)
+
+    def leave(self, number: int) -> asyncio.Task:
+        """Start a graceful leave."""
+        return asyncio.ensure_future(self.instances[number].leave())
+
+    def partition(self, *numbers: int) -> None:
+        """Separate these instances from the others."""
+        self.side = {f"i{number}": 1 for number in numbers}
+
+    async def call(self, sender, address, msg):
+        await self.clock.sleep(self.rng.uniform(0.0, self.delay))
+        receiver = next(i for i in self.instances if i.address == address)
+        if receiver.gone or self._cut(sender, receiver):
+            raise PeerUnreachableError(f"{address} can't be reached")
+        await receiver.runs()
+        handler = asyncio.ensure_future(receiver.handlers[type(msg)](sender, msg))
+        if self.rng.random() < self.lost:
+            await asyncio.get_running_loop().create_future()
+        reply = await handler
+        await self.clock.sleep(self.rng.uniform(0.0, self.delay))
+        if receiver.gone or self._cut(sender, receiver):
+            await asyncio.get_running_loop().create_future()
+        return reply
+
+    def _cut(self, one, other) -> bool:
+        return self.side.get(one.id, 0) != self.side.get(other.id, 0)
+
+    def mint(self, number: int) -> str:
+        return self.instances[number].bookings.mint()
+
+    def submit(self, number: int, ticket: str, seconds: float = 1.0) -> asyncio.Task:
+        """Send the booking as a caller that waits up to `seconds`."""
+        task = asyncio.ensure_future(self._submit(number, ticket, seconds))
+        self.callers.add(task)
+        return task
+
+    async def _submit(self, number, ticket, seconds):
+        instance = self.instances[number]
+        request = BookingRequest("r", "c", {}, "hire", "s1", {"ticket": ticket})
+        await instance.runs()
+        deadline = self.clock.monotonic() + seconds
+        answer = await instance.bookings.submit(ticket, request, deadline)
+        await instance.runs()
+        self.history.answered(ticket, answer)
+        return answer
+
+    async def drive(self, seconds: float, step: float = 0.02) -> None:
+        """Let the fleet run for some seconds of its clock."""
+        end = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < end:
+            for _ in range(15):
+                await asyncio.sleep(0)
+            self.clock.advance(step)
+
+    def close(self) -> None:
+        """End the tasks that wait for processes that are gone."""
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+
+
+async def run_month_end(seed: int, **parts) -> Fleet:
+    """Return a fleet after seeded bookings and faults."""
+    fates = Fates(refused=0.2, lost_after=0.1, lost_before=0.1)
+    fleet = Fleet(seed, 4, fates, **parts)
+    rng = fleet.rng
+    fleet.lost = 0.1
+    tickets: list[str] = []
+    for _ in range(60):
+        _disturb(fleet, rng)
+        number = rng.randrange(4)
+        if not fleet.instances[number].leaving and rng.random() < 0.5:
+            tickets.append(fleet.mint(number))
+        for ticket in rng.choices(tickets, k=2) if tickets else ():
+            fleet.submit(rng.randrange(4), ticket, rng.choice([0.1, 0.5, 2.0]))
+        await fleet.drive(rng.choice([0.04, 0.1, 0.4]))
+    fleet.partition()
+    fleet.lost = 0.0
+    for instance in fleet.instances:
+        instance.resume()
+    await fleet.drive(1.0)
+    for ticket in tickets:
+        fleet.submit(rng.randrange(4), ticket, 3.0)
+    await fleet.drive(4.0)
+    return fleet
+
+
+def _disturb(fleet: Fleet, rng: random.Random) -> None:
+    number = rng.randrange(4)
+    instance = fleet.instances[number]
+    match rng.randrange(12):
+        case 0:
+            instance.pause()
+        case 1 | 2:
+            for other in fleet.instances:
+                other.resume()
+        case 3:
+            fleet.partition(*rng.sample(range(4), 2))
+        case 4 | 5:
+            fleet.partition()
+        case 6 if rng.random() < 0.3:
+            fleet.replace(number)
+        case 7 if not instance.leaving and rng.random() < 0.5:
+            fleet.leave(number)
+        case 8 if instance.gone:
+            fleet.replace(number)
