--- a/filbertshelf/coordination/bookings.py
+++ b/filbertshelf/coordination/bookings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Protocol
 
 import attrs
@@ -36,6 +36,7 @@
     read_handoff,
 )
 from filbertshelf.settings import Settings
+from filbertshelf.state.members import Address, Member, Status
 from filbertshelf.state.outcome import (
     Answer,
     Attempt,
@@ -47,7 +48,6 @@
     without_answer,
 )
 from filbertshelf.state.tickets import (
-    Address,
     Decision,
     FinalExport,
     FinalTable,
@@ -71,6 +71,8 @@
 PART_BYTES = 262_144
 # A larger answer isn't kept, since a resend could then not get the same one.
 MAX_OUTCOME_BYTES = 65_536
+# A leaving member would soon take a table with it; a suspect one may be alive.
+_MAY_HOLD = (Status.ALIVE, Status.SUSPECT)
 # The verdicts of a final table, or of an owner, that answer the request.
 _NOT_RUN = (Verdict.EXPIRED, Verdict.CLOSED, Verdict.ABSENT)
 _DEFINITE = (*_NOT_RUN, Verdict.RECORDED, Verdict.OTHER_BODY)
@@ -146,11 +148,8 @@
 class Members(Protocol):
     """The part of the membership that bookings use."""
 
-    def peers(self) -> Mapping[str, Address]:
-        """Return the peer address by id of the live members that aren't leaving.
-
-        This instance is not among them.
-        """
+    def members(self) -> Sequence[Member]:
+        """Return the rows that are not dead, this instance included."""
 
 
 class RunCheck:
@@ -444,9 +443,14 @@
 
     def _candidates(self, owner_id: str) -> list[Address]:
         """Return the addresses where the owner's final table may be."""
-        peers = self._members.peers()
-        ranked = rank_peers(owner_id, peers.keys() - {owner_id})
-        return [peers[name] for name in ranked[:HANDOFF_CANDIDATES]]
+        own = self._table.owner.id
+        addresses = {
+            member.id: member.address
+            for member in self._members.members()
+            if member.id not in (own, owner_id) and member.status in _MAY_HOLD
+        }
+        ranked = rank_peers(owner_id, addresses)
+        return [addresses[name] for name in ranked[:HANDOFF_CANDIDATES]]
 
     async def _hand_off(self, export: FinalExport) -> None:
         accepted = []
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -202,6 +202,12 @@
     status = 503
 
 
+class PeerFailedError(PeerTimeoutError):
+    """A peer took the message and says that it has no result for it."""
+
+    code = "peer_failed"
+
+
 class TicketFormatError(TicketError):
     """A ticket's text can't be read."""
 
--- a/test/coordination/fleet.py
+++ b/test/coordination/fleet.py
@@ -6,6 +6,7 @@
 import random
 
 import attrs
+from history import History
 
 from filbertshelf.clock import ManualClock
 from filbertshelf.coordination.bookings import Bookings, ShardChoice
@@ -14,10 +15,11 @@
     PeerUnreachableError,
 )
 from filbertshelf.protocol.bookings import BookingRequest
+from filbertshelf.protocol.messages import decode, encode
 from filbertshelf.settings import Settings
+from filbertshelf.state.members import Identity, Member, Status
 from filbertshelf.state.outcome import Attempt, Reason, Result
 from filbertshelf.state.tickets import FinalTable, TableLimits, TicketTable
-from history import History
 
 CFG = Settings(
     name="i0",
@@ -52,22 +54,28 @@
         self.awake.set()
         self.gone = False
         self.woken_at = -PAUSE_SEEN
-        self.leaving: asyncio.Task | None = None
+        self.status = Status.ALIVE
         self.handlers = {}
-        table = fleet.table(CFG, self, self.id, self.address, incarnation, LIMITS)
+        identity = Identity(self.id, "bne-1", incarnation)
+        self.table = fleet.table(CFG, self, identity, self.address, LIMITS)
+        self.finals = FinalTable(self)
+        runner = fleet.runner(self)
         self.bookings = Bookings(
-            CFG, self, table, FinalTable(self), self, self, self, fleet.runner(self), self
+            CFG, self, self.table, self.finals, self, self, self, runner, self
         )
 
     # The clock.
 
     def now(self):
+        """Return the wall-clock time."""
         return self.fleet.clock.now()
 
     def monotonic(self) -> float:
+        """Return the seconds of the fleet's clock."""
         return self.fleet.clock.monotonic()
 
     async def sleep(self, seconds: float) -> None:
+        """Return when the time has passed and the process runs."""
         await self.fleet.clock.sleep(seconds)
         await self.runs()
 
@@ -80,23 +88,29 @@
     # The pause detector.
 
     def check(self) -> float:
+        """Return whether the process was paused a moment ago."""
         return float(self.monotonic() < self.woken_at + PAUSE_SEEN)
 
     # The members and the planner.
 
-    def peers(self):
-        others = self.fleet.instances
-        return {i.id: i.address for i in others if i is not self and not i.leaving}
+    def members(self):
+        """Return the rows of all instances; a replaced one has its successor's."""
+        return [
+            Member(i.id, "bne-1", i.address, 1, i.status) for i in self.fleet.instances
+        ]
 
     def choose(self, request):
+        """Choose the shard that the request names."""
         return ShardChoice(request.service, request.shard, "v1", 1, 1)
 
     # The peer transport.
 
     def register(self, message_class, handler):
+        """Set the handler of a message class."""
         self.handlers[message_class] = handler
 
     async def request(self, address, msg, timeout):
+        """Return the reply, as the peer transport does."""
         started = self.monotonic()
         call = asyncio.ensure_future(self.fleet.call(self, address, msg))
         timer = asyncio.ensure_future(self.sleep(timeout))
@@ -110,15 +124,18 @@
     # What the test does to it.
 
     def pause(self) -> None:
+        """Stop the process."""
         self.awake.clear()
 
     def resume(self) -> None:
-        self.woken_at = self.monotonic()
-        self.awake.set()
+        """Let the process run on."""
+        if not self.awake.is_set():
+            self.woken_at = self.monotonic()
+            self.awake.set()
 
     async def leave(self) -> None:
         """Leave gracefully; the process ends a moment after its hand-off."""
-        self.leaving = asyncio.current_task()
+        self.status = Status.LEAVING
         await self.bookings.leave(1.0)
         await self.sleep(0.2)
         self.gone = True
@@ -131,6 +148,7 @@
         self.instance = instance
 
     async def run_once(self, request, ticket_id, choice, deadline, check):
+        """Try up to three targets."""
         attempts = []
         for target in ("t0", "t1", "t2"):
             await self.instance.sleep(self.instance.fleet.rng.uniform(0.0, 0.1))
@@ -143,6 +161,7 @@
         return attempts
 
     async def write(self, target, request, deadline):
+        """Write to one target, which draws the fate."""
         fleet, now = self.instance.fleet, self.instance.monotonic()
         fate, fates = fleet.rng.random(), fleet.fates
         if fate < fates.refused:
@@ -192,15 +211,18 @@
         self.side = {f"i{number}": 1 for number in numbers}
 
     async def call(self, sender, address, msg):
+        """Deliver a message and return the reply, if the network lets it."""
         await self.clock.sleep(self.rng.uniform(0.0, self.delay))
         receiver = next(i for i in self.instances if i.address == address)
         if receiver.gone or self._cut(sender, receiver):
             raise PeerUnreachableError(f"{address} can't be reached")
         await receiver.runs()
-        handler = asyncio.ensure_future(receiver.handlers[type(msg)](sender, msg))
+        handle = receiver.handlers[type(msg)]
+        handler = asyncio.ensure_future(handle(sender, _sent(msg)))
         if self.rng.random() < self.lost:
             await asyncio.get_running_loop().create_future()
-        reply = await handler
+        reply = _sent(await handler)
+        await receiver.runs()
         await self.clock.sleep(self.rng.uniform(0.0, self.delay))
         if receiver.gone or self._cut(sender, receiver):
             await asyncio.get_running_loop().create_future()
@@ -210,6 +232,7 @@
         return self.side.get(one.id, 0) != self.side.get(other.id, 0)
 
     def mint(self, number: int) -> str:
+        """Return a ticket of the instance."""
         return self.instances[number].bookings.mint()
 
     def submit(self, number: int, ticket: str, seconds: float = 1.0) -> asyncio.Task:
@@ -242,6 +265,10 @@
             task.cancel()
 
 
+def _sent(msg):
+    return decode(encode(msg)).message
+
+
 async def run_month_end(seed: int, **parts) -> Fleet:
     """Return a fleet after seeded bookings and faults."""
     fates = Fates(refused=0.2, lost_after=0.1, lost_before=0.1)
@@ -252,9 +279,9 @@
     for _ in range(60):
         _disturb(fleet, rng)
         number = rng.randrange(4)
-        if not fleet.instances[number].leaving and rng.random() < 0.5:
+        if not fleet.instances[number].table.closed and rng.random() < 0.7:
             tickets.append(fleet.mint(number))
-        for ticket in rng.choices(tickets, k=2) if tickets else ():
+        for ticket in rng.choices(tickets, k=rng.randrange(3)) if tickets else ():
             fleet.submit(rng.randrange(4), ticket, rng.choice([0.1, 0.5, 2.0]))
         await fleet.drive(rng.choice([0.04, 0.1, 0.4]))
     fleet.partition()
@@ -283,7 +310,7 @@
             fleet.partition()
         case 6 if rng.random() < 0.3:
             fleet.replace(number)
-        case 7 if not instance.leaving and rng.random() < 0.5:
+        case 7 if not instance.table.closed and rng.random() < 0.5:
             fleet.leave(number)
         case 8 if instance.gone:
             fleet.replace(number)
--- a/test/coordination/test_bookings.py
+++ b/test/coordination/test_bookings.py
@@ -3,14 +3,7 @@
 from collections import Counter
 
 import pytest
-
-from filbertshelf.coordination import bookings
-from filbertshelf.coordination.bookings import Bookings
-from filbertshelf.errors import PausedError, StoppingError, TicketBodyError
-from filbertshelf.protocol.bookings import BookingRequest
-from filbertshelf.state.outcome import Attempt, Outcome, Result
-from filbertshelf.state.tickets import Decision, State, TicketTable, Verdict
-from fleet import Fates, Fleet, Runner, run_month_end
+from fleet import Fleet, run_month_end
 
 SEEDS = range(12)
 
--- a/test/state/test_tickets.py
+++ b/test/state/test_tickets.py
@@ -11,11 +11,12 @@
     StoppingError,
     TicketError,
     TicketFormatError,
-    TicketSignatureError,
     TicketsFullError,
+    TicketSignatureError,
     TicketVersionError,
 )
 from filbertshelf.settings import Settings
+from filbertshelf.state.members import Identity
 from filbertshelf.state.tickets import (
     FinalTable,
     TableLimits,
@@ -35,13 +36,14 @@
     platform=("127.0.0.1", 1),
     ticket_lifetime=10.0,
 )
+OWN = Identity("a", "bne-1", 1)
 LIMITS = TableLimits(records=6, outcome_bytes=40, keep_ms=5_000)
 FIXED = settings(derandomize=True, deadline=None)
 NEVER_RUNS = (Verdict.EXPIRED, Verdict.CLOSED, Verdict.ABSENT)
 
 
 def make_table(clock, nonce="n1", limits=LIMITS):
-    return TicketTable(CFG, clock, "a", ("127.0.0.1", 7001), 1, limits, nonce)
+    return TicketTable(CFG, clock, OWN, ("127.0.0.1", 7001), limits, nonce)
 
 
 @given(st.integers(0, 400), st.sampled_from("Aaz09-_.é"))
@@ -90,6 +92,7 @@
 
     @rule()
     def mint(self):
+        """Mint, if there is room."""
         try:
             ticket = self.table.mint()
         except (TicketsFullError, StoppingError):
@@ -100,12 +103,14 @@
     @precondition(lambda self: self.tickets)
     @rule(data=st.data(), digest=st.sampled_from([b"x", b"x", b"y"]))
     def begin(self, data, digest):
+        """Use a ticket, perhaps again or with another body."""
         ticket = data.draw(st.sampled_from(self.tickets))
         self._check(ticket, self.table.begin(ticket, digest), digest)
 
     @precondition(lambda self: self.running)
     @rule(data=st.data(), refused=st.booleans(), outcome=st.binary(min_size=1))
     def end(self, data, refused, outcome):
+        """End a run; a second end is an error."""
         ticket_id = data.draw(st.sampled_from(sorted(self.running)))
         ticket, digest = self.running.pop(ticket_id)
         end = self.table.refuse if refused else self.table.finish
@@ -116,11 +121,13 @@
 
     @rule(seconds=st.sampled_from([0.5, 1, 4.999, 5, 9.999, 10, 15]))
     def advance(self, seconds):
+        """Move the clock."""
         self.clock.advance(seconds)
 
     @precondition(lambda self: not self.table.closed)
     @rule(now=st.integers(0, 7))
     def close(self, now):
+        """Close the table; an export before that is an error."""
         with pytest.raises(ValueError, match="close"):
             self.table.export()
         if now == 0:
@@ -129,6 +136,7 @@
     @precondition(lambda self: self.table.closed)
     @rule(lost=st.integers(-1, 3))
     def hand_off(self, lost):
+        """Export; one part may be lost."""
         parts = split_export(self.table.export(), 2, 30)
         for number, part in enumerate(parts):
             if number != lost:
@@ -137,6 +145,7 @@
     @precondition(lambda self: self.tickets)
     @rule(data=st.data(), digest=st.sampled_from([b"x", b"y"]))
     def look_up(self, data, digest):
+        """Ask the holder."""
         ticket = data.draw(st.sampled_from(self.tickets))
         decision = self.finals.lookup(ticket, digest)
         assert decision.verdict not in (Verdict.RUN, Verdict.WAIT)
@@ -161,9 +170,11 @@
 
     @invariant()
     def memory_is_bounded(self):
+        """No number of tickets grows the table past its limit."""
         assert self.table.size <= LIMITS.records
 
     def teardown(self):
+        """Everything is dropped in the end."""
         for ticket, _ in self.running.values():
             self.table.finish(ticket, b"end")
         for _ in range(2):
