--- a/test/coordination/fleet.py
+++ b/test/coordination/fleet.py
@@ -18,7 +18,7 @@
 from filbertshelf.protocol.messages import decode, encode
 from filbertshelf.settings import Settings
 from filbertshelf.state.members import Identity, Member, Status
-from filbertshelf.state.outcome import Attempt, Reason, Result
+from filbertshelf.state.outcome import Answer, Attempt, Reason, Result
 from filbertshelf.state.tickets import FinalTable, TableLimits, TicketTable
 
 CFG = Settings(
@@ -241,6 +241,12 @@
         self.callers.add(task)
         return task
 
+    async def ask(self, number: int, ticket: str, seconds: float = 1.0) -> Answer:
+        """Send the booking and return the answer."""
+        task = self.submit(number, ticket, seconds)
+        await self.drive(seconds + 0.1)
+        return task.result()
+
     async def _submit(self, number, ticket, seconds):
         instance = self.instances[number]
         request = BookingRequest("r", "c", {}, "hire", "s1", {"ticket": ticket})
@@ -260,7 +266,13 @@
             self.clock.advance(step)
 
     def close(self) -> None:
-        """End the tasks that wait for processes that are gone."""
+        """End the tasks that wait for processes that are gone.
+
+        Raises what a caller got other than an answer.
+        """
+        for task in self.callers:
+            if task.done():
+                task.result()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
 
