Test the peer connections and bound the close of a stuck connection

A test with a peer that does not read showed that Peers.stop hung: the closing handshake waits for room in the write buffer without a limit.

--- /dev/null
+++ b/filbertshelf/bench/membership.py
@@ -0,0 +1,120 @@
+"""The cost of the membership per node, at several fleet sizes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import attrs
+
+from filbertshelf.clock import SystemClock
+from filbertshelf.coordination.membership import Membership
+from filbertshelf.settings import Settings
+from filbertshelf.state.members import Identity
+from filbertshelf.transport.peers import Peers
+
+# Until all members know each other and the updates of the start have been sent.
+SETTLE_PERIODS = 15
+MEASURE_SECONDS = 20.0
+# Starts per second, so that the start itself does not overload the process.
+START_INTERVAL = 0.02
+
+
+@attrs.frozen
+class MembershipCost:
+    """The mean cost of one node while nothing changes.
+
+    Bytes are what the sockets carry, sent and received together, with HTTP and
+    WebSocket headers and without TCP/IP headers. `cpu_share` is the share of one core.
+    `seen_least` is the smallest member count that any node saw at the end.
+    """
+
+    members: int
+    seconds: float
+    bytes_per_s: float
+    frames_per_s: float
+    connects_per_s: float
+    cpu_share: float
+    seen_least: int
+
+
+@attrs.define
+class _Totals:
+    bytes: int
+    frames: int
+    connects: int
+    cpu: float
+    time: float
+
+
+async def _start_node(
+    index: int, seeds: tuple[tuple[str, int], ...], period: float
+) -> tuple[Peers, Membership]:
+    clock = SystemClock()
+    cfg = Settings(
+        name=f"entry-{index}",
+        data_centre=f"dc-{index % 3}",
+        fleet_key="membership-bench-key",
+        platform=("127.0.0.1", 1),
+        peers=seeds,
+        probe_period=period,
+    )
+    identity = Identity.start(cfg.name, cfg.data_centre, clock)
+    peers = Peers(cfg, identity, clock)
+    await peers.start()
+    membership = Membership(cfg, identity, clock, peers, random.Random(index))
+    await membership.start()
+    return peers, membership
+
+
+def _totals(nodes: list[tuple[Peers, Membership]]) -> _Totals:
+    counts = [peers.counts for peers, _ in nodes]
+    return _Totals(
+        sum(count.bytes_received for count in counts),
+        sum(count.frames_received for count in counts),
+        sum(count.dialled for count in counts),
+        time.process_time(),
+        time.monotonic(),
+    )
+
+
+async def _run(members: int, seconds: float, period: float) -> MembershipCost:
+    nodes: list[tuple[Peers, Membership]] = []
+    seeds: tuple[tuple[str, int], ...] = ()
+    try:
+        for index in range(members):
+            nodes.append(await _start_node(index, seeds, period))
+            seeds = seeds or (nodes[0][0].address,)
+            await asyncio.sleep(START_INTERVAL)
+        await asyncio.sleep(SETTLE_PERIODS * period)
+        before = _totals(nodes)
+        await asyncio.sleep(seconds)
+        after = _totals(nodes)
+        seen = min(membership.size_seen() for _, membership in nodes)
+    finally:
+        await asyncio.gather(*(membership.stop() for _, membership in nodes))
+        await asyncio.gather(*(peers.stop() for peers, _ in nodes))
+    elapsed = after.time - before.time
+    node_seconds = members * elapsed
+    return MembershipCost(
+        members=members,
+        seconds=elapsed,
+        # All traffic stays between the measured nodes, so they send what they receive.
+        bytes_per_s=2 * (after.bytes - before.bytes) / node_seconds,
+        frames_per_s=2 * (after.frames - before.frames) / node_seconds,
+        connects_per_s=(after.connects - before.connects) / node_seconds,
+        cpu_share=(after.cpu - before.cpu) / node_seconds,
+        seen_least=seen,
+    )
+
+
+def measure(
+    members: int, seconds: float = MEASURE_SECONDS, period: float = 1.0
+) -> MembershipCost:
+    """Run that many members in this process and return the mean cost of one.
+
+    `seconds` is the measured time after the start has settled; `period` is the probe
+    period in seconds.
+    """
+    return asyncio.run(_run(members, seconds, period))
--- a/filbertshelf/coordination/membership.py
+++ b/filbertshelf/coordination/membership.py
@@ -83,8 +83,12 @@
         self.payload = dict
         self.on_payload = _ignore
         self._rng = rng if rng is not None else random.Random()
-        self.table = self._make_table()
+        own = Member(
+            identity.id, identity.data_centre, peers.address, identity.incarnation
+        )
+        self.table = MemberTable(own, self._rng)
         self._period = 0
+        self._contact: Address | None = None
         self._joined = False
         self._handlers = {
             Probe: self._on_probe,
@@ -140,13 +144,7 @@
 
     async def on_start(self) -> None:
         """Take the bound address into the own row."""
-        self.table = self._make_table()
-        await super().on_start()
-
-    def _make_table(self) -> MemberTable:
-        me = self.identity
-        own = Member(me.id, me.data_centre, self.peers.address, me.incarnation)
-        return MemberTable(own, self._rng)
+        self.table.set_address(self.peers.address)
 
     # The probe loop.
 
@@ -194,6 +192,8 @@
         if target is not None:
             tasks.append(self._probe_member(target))
         results = await asyncio.gather(*tasks)
+        if not self._joined and self._contact is not None:
+            await self._join(self._contact)
         if target is None or results[-1]:
             return None
         return target.id
@@ -203,9 +203,7 @@
         address = self.table.next_revival(self.cfg.peers)
         if address is None or address == self.own.address:
             return
-        ack = await self._probe(address, self._dead_at(address))
-        if ack is not None and not self._joined:
-            await self._join(address)
+        await self._probe(address, self._dead_at(address))
 
     def _dead_at(self, address: Address) -> str | None:
         """Return the id of a dead member, which can refute if it gets its row."""
@@ -244,6 +242,7 @@
             return None
         if not isinstance(reply, ProbeAck) or not reply.rows:
             return None
+        self._contact = address
         self._receive(reply)
         return reply
 
--- a/filbertshelf/state/members.py
+++ b/filbertshelf/state/members.py
@@ -78,7 +78,10 @@
 
 
 def merge(first: Member, second: Member) -> Member:
-    """Return the row that wins: higher incarnation, then higher status."""
+    """Return which of two rows of one member wins.
+
+    The higher incarnation wins, then the higher status.
+    """
     return max(first, second, key=lambda member: member.precedence)
 
 
@@ -152,23 +155,20 @@
         known = self._rows.get(update.id)
         if known is not None and merge(known, update) == known:
             return None
-        if known is None and update.status is Status.DEAD:
-            # The row of a member that was forgotten here isn't brought back.
-            return None
         self._store(update, now)
         return update
 
     def suspect(self, member_id: str, now: float) -> Member | None:
         """Record that a member did not answer; return its row if it changed.
 
-        A leaving member that no longer answers has left and is dead at once.
+        A member that announced that it leaves and no longer answers is dead at once.
         """
         row = self._rows.get(member_id)
         if row is None or member_id == self.own.id:
             return None
-        if row.status is Status.ALIVE and member_id not in self._listed_leaving:
+        if row.status is Status.ALIVE:
             return self.apply(attrs.evolve(row, status=Status.SUSPECT), now)
-        if row.status in (Status.ALIVE, Status.LEAVING):
+        if row.status is Status.LEAVING:
             return self.apply(attrs.evolve(row, status=Status.DEAD), now)
         return None
 
@@ -195,6 +195,10 @@
             if row.status is Status.SUSPECT:
                 self._since[row.id] = now
 
+    def set_address(self, address: Address) -> None:
+        """Set the own address, which is known only after listening."""
+        self._set_own(attrs.evolve(self.own, address=address))
+
     def raise_incarnation(self, at_least: int = 0) -> Member:
         """Raise the own incarnation by one or to `at_least`; return the own row."""
         incarnation = max(self.own.incarnation + 1, at_least)
--- a/filbertshelf/transport/peers.py
+++ b/filbertshelf/transport/peers.py
@@ -513,6 +513,10 @@
             self._note_malformed(self.identity.id, exc)
             failed = Failed("the reply can't be sent")
             frame = encode(failed, correlation, Kind.REPLY)
+        if ws.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            # The peer sends requests but doesn't read the replies.
+            ws.transport.abort()
+            return
         with contextlib.suppress(ConnectionClosed):
             self.counts.frames_sent += 1
             await ws.send(frame)
@@ -641,5 +645,15 @@
 
 
 async def _close(ws: Connection | None) -> None:
-    if ws is not None:
-        await ws.close()
+    """Close a connection; abort it if the peer doesn't read.
+
+    The closing handshake waits for room in the write buffer without a limit of its
+    own, so a peer that doesn't read would hold it up forever.
+    """
+    if ws is None:
+        return
+    try:
+        async with asyncio.timeout(CLOSE_TIMEOUT):
+            await ws.close()
+    except TimeoutError:
+        ws.transport.abort()
--- /dev/null
+++ b/test/transport/test_peers.py
@@ -0,0 +1,290 @@
+"""Peers deliver each message at most once and say truthfully what is unknown."""
+
+import asyncio
+import contextlib
+import socket
+
+import attrs
+import cbor2
+import pytest
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from filbertshelf import events
+from filbertshelf.errors import (
+    HandshakeError,
+    MessageError,
+    PeerFailedError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+from filbertshelf.protocol.handshake import Hello, Proof, Refused
+from filbertshelf.protocol.messages import Kind, decode, encode, message
+from filbertshelf.transport import peers as module
+from filbertshelf.transport.peers import MAX_FRAME_BYTES, MAX_IDLE_LINKS, Sender
+
+
+@message("test-echo")
+@attrs.frozen
+class Echo:
+    """A message of this test."""
+
+    number: int
+    data: bytes = b""
+
+
+async def echo(sender, msg):
+    await asyncio.sleep(0.001 * (msg.number % 7))
+    return msg
+
+
+async def hang(sender, msg):
+    await asyncio.Event().wait()
+
+
+def numbers(log):
+    return [line["event"] for line in log if "event" in line]
+
+
+@contextlib.asynccontextmanager
+async def silent_listener():
+    """Accept TCP connections and never answer."""
+    server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[:2]
+    finally:
+        server.close()
+
+
+async def until(condition):
+    """Wait for a condition; the test's own timeout ends a wait in vain."""
+    while not condition():  # noqa: ASYNC110 - the condition is a counter
+        await asyncio.sleep(0.01)
+
+
+async def raw_link(client, server):
+    """Return an authenticated websocket on which a test writes any bytes."""
+    await client.request(server.address, Echo(0), 1.0)
+    return client._links[server.address].ws
+
+
+async def test_concurrent_requests_get_their_own_replies(start_peers):
+    # Guards against a reply that reaches another request.
+    client, server = await start_peers("a"), await start_peers("b")
+    server.register(Echo, echo)
+    requests = [client.request(server.address, Echo(n), 5.0) for n in range(500)]
+    assert await asyncio.gather(*requests) == [Echo(n) for n in range(500)]
+    assert client.counts.dialled == server.counts.accepted == 1
+
+
+async def test_the_handler_sees_the_proven_sender(start_peers):
+    client, server = await start_peers("a"), await start_peers("b")
+    seen = asyncio.Queue()
+
+    async def note(sender, msg):
+        seen.put_nowait((sender, msg))
+
+    server.register(Echo, note)
+    assert await client.request(server.address, Echo(1), 1.0) is None
+    await client.notify(server.address, Echo(2))
+    incarnation = client.identity.incarnation
+    sender = Sender("a", "bne-1", incarnation, client.address)
+    assert await seen.get() == (sender, Echo(1))
+    assert await seen.get() == (sender, Echo(2))
+
+
+@pytest.mark.parametrize(
+    ("other", "reason"),
+    [
+        ({"key": "another-key-of-the-fleet"}, "another fleet key"),
+        ({"versions": (99,)}, "no common protocol version"),
+    ],
+)
+async def test_a_bad_handshake_is_refused_and_logged(start_peers, log, other, reason):
+    client, server = await start_peers("a", **other), await start_peers("b")
+    with pytest.raises(PeerUnreachableError, match=reason) as caught:
+        await client.request(server.address, Echo(1), 1.0)
+    assert isinstance(caught.value.__cause__, HandshakeError)
+    assert client.counts.refused == 1
+    await until(lambda: server.counts.refused == 1)
+    assert server.counts.accepted == 0
+    assert numbers(log).count(events.HANDSHAKE_REFUSED.number) == 2
+
+
+async def test_a_client_without_the_key_sends_no_message(start_peers):
+    # Guards against a server that relies on the client to check the key: this client
+    # ignores the server's proof and reflects it.
+    server = await start_peers("b")
+    server.register(Echo, echo)
+    host, port = server.address
+    async with connect(f"ws://{host}:{port}", proxy=None) as ws:
+        hello = Hello((1,), b"n" * 16, "a", "bne-1", 1, ("127.0.0.1", 9))
+        await ws.send(encode(hello))
+        challenge = decode(await ws.recv()).message
+        await ws.send(encode(Proof(challenge.proof)))
+        await ws.send(encode(Echo(1), 1, Kind.REQUEST))
+        assert isinstance(decode(await ws.recv()).message, Refused)
+        with pytest.raises(ConnectionClosed):
+            await ws.recv()
+    assert server.counts.frames_received == 0
+
+
+async def test_an_older_version_is_negotiated(start_peers):
+    client = await start_peers("a", versions=(3, 2))
+    server = await start_peers("b", versions=(2, 1))
+    server.register(Echo, echo)
+    assert await client.request(server.address, Echo(1), 1.0) == Echo(1)
+
+
+@pytest.mark.parametrize("bad", [b"\xff\x00", b"", "text", cbor2.dumps([0, 1])])
+async def test_a_malformed_frame_is_dropped(start_peers, log, bad):
+    # Guards against a frame that hangs or ends the server or the connection.
+    client, server = await start_peers("a"), await start_peers("b")
+    server.register(Echo, echo)
+    ws = await raw_link(client, server)
+    await ws.send(bad)
+    assert await client.request(server.address, Echo(2), 1.0) == Echo(2)
+    assert server.counts.malformed == 1
+    assert events.FRAME_MALFORMED.number in numbers(log)
+    assert client.counts.dialled == 1
+
+
+async def test_an_oversize_frame_ends_only_its_connection(start_peers):
+    client, server = await start_peers("a"), await start_peers("b")
+    server.register(Echo, echo)
+    with pytest.raises(MessageError, match="split"):
+        await client.request(server.address, Echo(1, bytes(MAX_FRAME_BYTES)), 1.0)
+    ws = await raw_link(client, server)
+    with contextlib.suppress(ConnectionClosed):
+        await ws.send(bytes(MAX_FRAME_BYTES + 1))
+    await until(lambda: server.counts.malformed == 1)
+    near = Echo(2, bytes(MAX_FRAME_BYTES - 200))
+    assert await client.request(server.address, near, 5.0) == near
+
+
+async def test_an_unknown_type_or_a_failing_handler_is_answered_at_once(start_peers):
+    # Guards against a requester that waits for a reply that will never come.
+    client, server = await start_peers("a"), await start_peers("b")
+
+    async def fail(sender, msg):
+        raise KeyError(msg.number)
+
+    for handler, counter in ((None, "unknown"), (fail, "failed")):
+        if handler is not None:
+            server.register(Echo, handler)
+        with pytest.raises(PeerFailedError):
+            await client.request(server.address, Echo(1), 60.0)
+        assert getattr(server.counts, counter) == 1
+    frame = encode(Echo(1), 1, Kind.REQUEST).replace(b"test-echo", b"test-ohce")
+    await client._links[server.address].ws.send(frame)
+    await until(lambda: server.counts.unknown == 2)
+
+
+async def test_unreachable_only_if_nothing_was_written(start_peers):
+    client, server = await start_peers("a"), await start_peers("b")
+    server.register(Echo, hang)
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        with pytest.raises(PeerUnreachableError):
+            await client.request(unused.getsockname(), Echo(1), 1.0)
+        with pytest.raises(PeerUnreachableError):
+            await client.notify(unused.getsockname(), Echo(1))
+    async with silent_listener() as address:
+        with pytest.raises(PeerUnreachableError):
+            await client.request(address, Echo(1), 0.1)
+    with pytest.raises(PeerTimeoutError):
+        await client.request(server.address, Echo(1), 0.1)
+    waiting = asyncio.ensure_future(client.request(server.address, Echo(1), 60.0))
+    await until(lambda: len(server._running) == 2)
+    for ws in server._server.connections:
+        ws.transport.abort()
+    with pytest.raises(PeerTimeoutError, match="lost"):
+        await waiting
+
+
+async def test_a_request_is_never_written_twice(start_peers):
+    # The connection is lost after the write; a second try would run it twice.
+    client, server = await start_peers("a"), await start_peers("b")
+    runs = []
+
+    async def abort(sender, msg):
+        runs.append(msg)
+        for ws in server._server.connections:
+            ws.transport.abort()
+
+    server.register(Echo, abort)
+    for number in range(3):
+        with pytest.raises(PeerTimeoutError):
+            await client.request(server.address, Echo(number), 1.0)
+    assert runs == [Echo(0), Echo(1), Echo(2)]
+
+
+async def test_a_peer_that_does_not_read_blocks_nobody_else(start_peers):
+    client, stuck, server = [await start_peers(name) for name in "abc"]
+    stuck.register(Echo, echo)
+    server.register(Echo, echo)
+    await client.request(stuck.address, Echo(0), 1.0)
+    for ws in stuck._server.connections:
+        ws.transport.pause_reading()
+    big = Echo(1, bytes(MAX_FRAME_BYTES // 2))
+    flood = [client.request(stuck.address, big, 0.5) for _ in range(40)]
+    flooding = asyncio.gather(*flood, return_exceptions=True)
+    for number in range(20):
+        assert await client.request(server.address, Echo(number), 0.5) == Echo(number)
+    results = await flooding
+    assert {type(result) for result in results} == {
+        PeerTimeoutError,
+        PeerUnreachableError,
+    }
+    # Guards against memory that grows with each message to such a peer.
+    unsent = client._links[stuck.address].ws.transport.get_write_buffer_size()
+    assert unsent <= module.MAX_UNSENT_BYTES + MAX_FRAME_BYTES
+    # Guards against a stop that waits for such a peer.
+    await asyncio.wait_for(client.stop(), 5.0)
+
+
+async def test_idle_connections_are_limited(start_peers):
+    client = await start_peers("a")
+    servers = [await start_peers(f"b{n}") for n in range(MAX_IDLE_LINKS + 3)]
+    for server in servers:
+        server.register(Echo, echo)
+        await client.request(server.address, Echo(1), 1.0)
+    assert len(client._links) == MAX_IDLE_LINKS
+    assert servers[2].address not in client._links
+    assert servers[3].address in client._links
+
+
+async def test_a_blocked_address_is_cut_off_both_ways(start_peers):
+    a, b = await start_peers("a"), await start_peers("b")
+    for peers in (a, b):
+        peers.register(Echo, echo)
+    await a.request(b.address, Echo(1), 1.0)
+    a.blocked.add(b.address)
+    with pytest.raises(PeerTimeoutError):
+        await a.request(b.address, Echo(1), 0.05)
+    with pytest.raises(PeerUnreachableError):
+        await b.request(a.address, Echo(1), 0.05)
+    a.blocked.clear()
+    assert await a.request(b.address, Echo(2), 1.0) == Echo(2)
+
+
+async def test_stop_lets_running_handlers_finish(start_peers):
+    client, server = await start_peers("a"), await start_peers("b")
+    entered, leave = asyncio.Event(), asyncio.Event()
+
+    async def slow(sender, msg):
+        entered.set()
+        await leave.wait()
+        return msg
+
+    server.register(Echo, slow)
+    running = asyncio.ensure_future(client.request(server.address, Echo(1), 5.0))
+    await entered.wait()
+    stopping = asyncio.ensure_future(server.stop())
+    with pytest.raises(PeerFailedError, match="stopping"):
+        await client.request(server.address, Echo(2), 1.0)
+    leave.set()
+    assert await running == Echo(1)
+    await stopping
+    with pytest.raises(PeerUnreachableError):
+        await client.request(server.address, Echo(3), 1.0)
