--- a/test/coordination/test_membership.py
+++ b/test/coordination/test_membership.py
@@ -94,7 +94,7 @@
 async def until(condition):
     """Wait for a condition; fail if it does not come true in time."""
     async with asyncio.timeout(CONVERGED):
-        while not condition():  # noqa: ASYNC110 - the condition is a table
+        while not condition():
             await asyncio.sleep(0.01)
 
 
--- a/test/transport/test_peers.py
+++ b/test/transport/test_peers.py
@@ -58,7 +58,7 @@
 
 async def until(condition):
     """Wait for a condition; the test's own timeout ends a wait in vain."""
-    while not condition():  # noqa: ASYNC110 - the condition is a counter
+    while not condition():
         await asyncio.sleep(0.01)
 
 
