--- a/filbertshelf/coordination/configuration.py
+++ b/filbertshelf/coordination/configuration.py
@@ -280,11 +280,17 @@
                 events.emit(
                     events.FETCH_FAILED, document=document, peer=where, reason=str(exc)
                 )
+                self._ask_others()
             return
         if taken is Taken.REFUSED:
             self.readiness.disclaim(document, reply.version)
         self._after_taken(document, taken)
 
+    def _ask_others(self) -> None:
+        """Look for other holders of a version that a peer did not deliver."""
+        for address in self._addresses_to_ask():
+            self.add_future(self._ask(address))
+
     def _after_taken(self, document: str, taken: Taken) -> None:
         if taken is Taken.ACCEPTED:
             if document == INSTANCES:
--- a/filbertshelf/coordination/platform_watch.py
+++ b/filbertshelf/coordination/platform_watch.py
@@ -38,18 +38,24 @@
 class PlatformHealth:
     """Logs the first failure of an outage and its end, not every attempt."""
 
+    document: str
     failures: int = 0
 
     def failed(self, exc: PlatformError) -> None:
         """Record a call that failed."""
         self.failures += 1
         if self.failures == 1:
-            events.emit(events.PLATFORM_FAILED, reason=str(exc))
+            reason = f"{self.document}: {exc}"
+            events.emit(events.PLATFORM_FAILED, reason=reason)
 
     def answered(self) -> None:
         """Record a call that was answered."""
         if self.failures:
-            events.emit(events.PLATFORM_RECOVERED, failures=self.failures)
+            events.emit(
+                events.PLATFORM_RECOVERED,
+                document=self.document,
+                failures=self.failures,
+            )
         self.failures = 0
 
 
@@ -82,7 +88,7 @@
         wait: float,
     ):
         """`wait` is the length of one watch in seconds."""
-        self.health = PlatformHealth()
+        self.health = PlatformHealth(document)
         self._document = document
         self._client = client
         self._owner = owner
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -200,7 +200,7 @@
     level=Level.WARNING,
 )
 PLATFORM_RECOVERED = define(
-    404, "platform-recovered", "The platform answers again.", "failures"
+    404, "platform-recovered", "The platform answers again.", "document", "failures"
 )
 WATCH_CHANGED = define(
     405,
--- a/filbertshelf/protocol/platform.py
+++ b/filbertshelf/protocol/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
 import json
 from collections.abc import Mapping
 from typing import Any
@@ -164,4 +165,8 @@
 
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdecimal() and 0 < int(port) < 65_536
+    try:
+        ipaddress.ip_address(host)
+        return 0 < int(port) < 65_536
+    except ValueError:
+        return False
--- /dev/null
+++ b/test/coordination/configuration_fleet.py
@@ -0,0 +1,216 @@
+"""A fleet of configuration services on a fake network and a fake platform."""
+
+import asyncio
+import collections
+import random
+
+import attrs
+
+from filbertshelf.clock import ManualClock
+from filbertshelf.coordination.configuration import Configuration
+from filbertshelf.errors import PeerTimeoutError, PeerUnreachableError, PlatformError
+from filbertshelf.protocol import messages
+from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.settings import parse_settings
+from filbertshelf.state.members import Member
+
+STEP_S = 0.05
+# Loop passes per step of the clock; a request and its reply take about 6.
+PASSES = 20
+DATA_CENTRES = ("bne-1", "bne-2", "bne-3")
+
+
+class FakePlatform:
+    """Counts calls; `down` fails them, `stale` serves other documents."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.documents = {"instances": PlatformDocument(0, {})}
+        self.stale = {}
+        self.down = False
+        self.calls = 0
+
+    def publish(self, revision, content):
+        """Replace the publication."""
+        self.documents["config"] = PlatformDocument(revision, content)
+
+    def _served(self, document):
+        if self.down:
+            raise PlatformError("down")
+        return self.stale.get(document) or self.documents[document]
+
+    async def read(self, document):
+        """Return the document."""
+        self.calls += 1
+        await asyncio.sleep(0)
+        return self._served(document)
+
+    async def watch(self, document, after, wait):
+        """Return the document above `after`, None after `wait` seconds."""
+        self.calls += 1
+        until = self.clock.monotonic() + wait
+        while self._served(document).revision <= after:
+            if self.clock.monotonic() >= until:
+                return None
+            await self.clock.sleep(STEP_S)
+        return self._served(document)
+
+
+@attrs.define(eq=False, slots=False)
+class Node:
+    """One instance: its address, its service and what it sees of the network."""
+
+    fleet: "Fleet"
+    member: Member
+    rng: random.Random
+    handlers: dict = attrs.field(factory=dict)
+    config: Configuration = None
+    received: collections.Counter = attrs.field(factory=collections.Counter)
+    paused: bool = False
+    payload = None
+    on_payload = None
+
+    # The peer connections.
+
+    def register(self, message_class, handler):
+        """Set the handler of a message class."""
+        self.handlers[message_class] = handler
+
+    async def request(self, address, msg, timeout):
+        """Return the peer's reply, or time out if the network loses it."""
+        other = self.fleet.nodes.get(address)
+        if other is None:
+            raise PeerUnreachableError("no such peer")
+        if self.fleet.cut(self, other) or self.fleet.lost():
+            await self.fleet.clock.sleep(timeout)
+            raise PeerTimeoutError("lost")
+        reply = await other.take(self, msg)
+        await self.fleet.travel()
+        data = messages.encode(reply)
+        self.received[type(reply).__name__] += len(data)
+        return messages.decode(data).message
+
+    async def notify(self, address, msg):
+        """Deliver a notice, or lose it."""
+        other = self.fleet.nodes[address]
+        if not self.fleet.cut(self, other) and not self.fleet.lost():
+            await other.take(self, msg)
+
+    async def take(self, sender, msg):
+        """Run the handler of a message and count its bytes."""
+        data = messages.encode(msg)
+        self.received[type(msg).__name__] += len(data)
+        await self.fleet.travel()
+        return await self.handlers[type(msg)](
+            sender.member, messages.decode(data).message
+        )
+
+    # The membership.
+
+    def members(self):
+        """Return the nodes on this side, this one first."""
+        others = (n for n in self.fleet.nodes.values() if not self.fleet.cut(self, n))
+        return [self.member, *(n.member for n in others if n is not self)]
+
+    def random_peers(self, count):
+        """Return other nodes on this side."""
+        others = self.members()[1:]
+        return self.rng.sample(others, min(count, len(others)))
+
+    def merge_list(self, rows):
+        """Ignore the list; the fake knows all nodes."""
+
+    async def probe(self):
+        """Exchange versions with one random node each second."""
+        while True:
+            for member in self.random_peers(1):
+                other = self.fleet.nodes[member.address]
+                self._carry(other)
+                other._carry(self)
+            await self.fleet.clock.sleep(self.rng.uniform(0.9, 1.1))
+
+    def _carry(self, other):
+        payload = self.payload()
+        other.received["payload"] += len(messages.cbor2.dumps(payload))
+        other.on_payload(self.member, payload)
+
+
+class Fleet:
+    """Nodes, clock and platform; `side` maps an address to its partition."""
+
+    def __init__(self, seed=1, loss=0.0, latency=0.0):
+        self.clock = ManualClock()
+        self.platform = FakePlatform(self.clock)
+        self.nodes = {}
+        self.side = collections.defaultdict(int)
+        self.loss = loss
+        self.latency = latency
+        self.rng = random.Random(seed)
+
+    def cut(self, one, other):
+        """Return whether no message passes between two nodes."""
+        if one.paused or other.paused:
+            return True
+        return self.side[one.member.address] != self.side[other.member.address]
+
+    def lost(self):
+        """Return whether the network loses the next message."""
+        return self.rng.random() < self.loss
+
+    async def travel(self):
+        """Return when a message has arrived."""
+        if self.latency:
+            await self.clock.sleep(self.latency)
+        else:
+            await asyncio.sleep(0)
+
+    async def add(self, count):
+        """Start more nodes."""
+        return [await self._add() for _ in range(count)]
+
+    async def _add(self):
+        number = len(self.nodes)
+        dc = DATA_CENTRES[number % len(DATA_CENTRES)]
+        address = ("127.0.0.1", 1_000 + number)
+        seed = next(iter(self.nodes), address)
+        text = f"""
+            [instance]
+            name = entry-{number}
+            data_centre = {dc}
+            [peers]
+            fleet_key = 0123456789abcdef
+            peers = {seed[0]}:{seed[1]}
+            [platform]
+            platform = 127.0.0.1:1
+        """
+        cfg = parse_settings(text.replace("            ", ""))
+        member = Member(cfg.name, dc, address, 1)
+        node = Node(self, member, random.Random(self.rng.random()))
+        rng = random.Random(self.rng.random())
+        node.config = Configuration(cfg, self.clock, self.platform, node, node, rng)
+        self.nodes[address] = node
+        node.config.add_future(node.probe())
+        await node.config.start()
+        return node
+
+    async def run(self, seconds, until=lambda: False, step=STEP_S):
+        """Let the time pass; return early, and how much passed."""
+        start = self.clock.monotonic()
+        while self.clock.monotonic() - start < seconds and not until():
+            self.clock.advance(step)
+            for _ in range(PASSES):
+                await asyncio.sleep(0)
+        return self.clock.monotonic() - start
+
+    def at(self, revision):
+        """Return how many nodes hold the revision."""
+        return sum(n.config.version.revision == revision for n in self.nodes.values())
+
+    def ready(self):
+        """Return whether all nodes are ready."""
+        return all(node.config.ready for node in self.nodes.values())
+
+    async def stop(self):
+        """Stop all nodes."""
+        for node in self.nodes.values():
+            await node.config.stop()
--- /dev/null
+++ b/test/coordination/test_configuration.py
@@ -0,0 +1,194 @@
+"""The spread of documents and the readiness of instances over a fake network."""
+
+import contextlib
+
+import pytest
+from configuration_fleet import Fleet
+
+from filbertshelf.errors import PublicationError
+from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.state.watchers import choose_watchers
+
+
+def content(number, extra=0):
+    policies = {f"p{i}": {"priority": i} for i in range(extra)}
+    return {"fleet": {"instances": number}, "policies": policies}
+
+
+@contextlib.asynccontextmanager
+async def running(size, **kwargs):
+    fleet = Fleet(**kwargs)
+    fleet.platform.publish(1, content(1))
+    await fleet.add(size)
+    await fleet.run(15, fleet.ready)
+    assert fleet.ready()
+    # By then the last start-up watch has given way to the watchers'.
+    await fleet.run(12)
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def test_platform_calls_do_not_grow_with_the_fleet():
+    """Guards against every instance polling the platform."""
+    rates = {}
+    for size in (5, 20, 100):
+        async with running(size) as fleet:
+            before = fleet.platform.calls
+            await fleet.run(30)
+            rates[size] = fleet.platform.calls - before
+    # 3 data centres, 2 watchers in each (with 5 instances one has 1), 2 documents, and
+    # a watch of 10 s.
+    assert rates[20] <= 3 * 2 * 2 * 4
+    assert max(rates.values()) - min(rates.values()) <= 2 * 4
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+async def test_a_change_reaches_all_within_8_s(loss):
+    """Guards against offers whose loss is never repaired."""
+    async with running(40, loss=loss) as fleet:
+        fleet.platform.publish(2, content(2))
+        assert await fleet.run(20, lambda: fleet.at(2) == 40) < 8
+
+
+async def test_peers_spread_what_one_has_while_the_platform_is_down(log):
+    async with running(20) as fleet:
+        fleet.platform.down = True
+        await fleet.run(20)
+        assert fleet.ready()
+        first = next(iter(fleet.nodes.values())).config
+        found = PlatformDocument(2, content(2))
+        first._platform_answered("config", found, first.readiness.epoch)
+        assert await fleet.run(20, lambda: fleet.at(2) == 20) < 8
+        [new] = await fleet.add(1)
+        assert await fleet.run(20, lambda: new.config.ready) < 3
+        assert new.config.version.revision == 2
+        fleet.platform.down = False
+        fleet.platform.publish(3, content(3))
+        assert await fleet.run(20, lambda: fleet.at(3) == 21) < 8
+        await fleet.run(5)
+    numbers = [m["event"] for m in log if "event" in m]
+    # Each of 6 watchers logs the outage and its end for 2 documents. The new instance
+    # logs only the outage, because it doesn't call the platform again.
+    assert numbers.count(404) == 6 * 2
+    assert numbers.count(402) == 6 * 2 + 2
+
+
+async def test_a_new_instance_is_not_reverted_by_a_stale_platform():
+    """Guards against a start with the old version that a stale replica serves."""
+    async with running(6) as fleet:
+        fleet.platform.publish(5, content(5))
+        await fleet.run(20, lambda: fleet.at(5) == 6)
+        fleet.platform.stale["config"] = PlatformDocument(1, content(1))
+        [new] = await fleet.add(1)
+        seen = []
+        await fleet.run(20, lambda: seen.append(new.config.version) or new.config.ready)
+        assert new.config.version.revision == 5
+        assert seen == sorted(seen)
+        await fleet.run(5)
+        assert fleet.at(5) == 7
+
+
+async def test_an_invalid_publication_is_refused_everywhere_and_not_offered(log):
+    async with running(6) as fleet:
+        fleet.platform.publish(2, {"fleet": {"instances": 0}})
+        await fleet.run(10)
+        assert fleet.at(1) == 6
+        refused = [m for m in log if m.get("event") == 401]
+        watchers = [n for n in fleet.nodes.values() if n.config.watching]
+        assert len(refused) == len(watchers)
+        fleet.platform.publish(3, content(3))
+        assert await fleet.run(20, lambda: fleet.at(3) == 6) < 8
+
+
+async def test_both_sides_of_a_partition_converge_after_it():
+    """Guards against two contents of one revision that stay side by side."""
+    async with running(8) as fleet:
+        for address in list(fleet.nodes)[::2]:
+            fleet.side[address] = 1
+        sides = [list(fleet.nodes.values())[i].config for i in (0, 1)]
+        for number, config in enumerate(sides, start=2):
+            found = PlatformDocument(2, content(number))
+            config._platform_answered("config", found, config.readiness.epoch)
+        await fleet.run(8)
+        versions = {n.config.version for n in fleet.nodes.values()}
+        assert len(versions) == 2
+        fleet.side.clear()
+        await fleet.run(8)
+        held = {n.config.version for n in fleet.nodes.values()}
+        assert held == {max(versions)}
+        sizes = {n.config.publication.fleet.instances for n in fleet.nodes.values()}
+        assert len(sizes) == 1
+
+
+async def test_a_paused_instance_is_not_ready_until_it_is_confirmed():
+    """Guards against serving with a configuration that changed during the pause."""
+    async with running(6) as fleet:
+        node = next(iter(fleet.nodes.values()))
+        node.paused = True
+        fleet.platform.down = True
+        await fleet.run(1)
+        node.config.confirm_needed()
+        await fleet.run(10)
+        assert not node.config.ready
+        others = [n.config for n in fleet.nodes.values() if n is not node]
+        found = PlatformDocument(2, content(2))
+        others[0]._platform_answered("config", found, 0)
+        await fleet.run(3)
+        node.paused = False
+        ready_at = []
+        await fleet.run(5, lambda: node.config.ready and not ready_at.append(node))
+        assert node.config.ready
+        assert node.config.version.revision == 2
+
+
+async def test_an_answer_from_before_the_pause_confirms_nothing():
+    """Guards against replies that waited in a socket while the process was paused."""
+    async with running(2) as fleet:
+        node = next(iter(fleet.nodes.values()))
+        before = node.config.readiness.epoch
+        node.config.confirm_needed()
+        node.config.readiness.peer_answered(before, ready=True)
+        found = PlatformDocument(1, content(1))
+        node.config._platform_answered("config", found, before)
+        node.config._check_ready()
+        assert not node.config.ready
+        await fleet.run(2)
+        assert node.config.ready
+
+
+async def test_without_peers_an_instance_starts_after_the_grace_period():
+    fleet = Fleet()
+    fleet.platform.publish(1, {"fleet": {"instances": 0}})
+    [node] = await fleet.add(1)
+    await fleet.run(10)
+    assert not node.config.ready
+    fleet.platform.publish(2, content(1))
+    assert await fleet.run(10, lambda: node.config.ready) < 5
+    await fleet.stop()
+
+
+async def test_a_failing_subscriber_does_not_stop_the_others(log):
+    async with running(1) as fleet:
+        config = next(iter(fleet.nodes.values())).config
+        told = []
+
+        def fail(document):
+            raise PublicationError([])
+
+        config.subscribe(fail)
+        config.subscribe(told.append)
+        fleet.platform.publish(2, content(2))
+        await fleet.run(2)
+        assert told == ["config"]
+    assert [m["event"] for m in log if "event" in m].count(410) == 1
+
+
+def test_a_lost_member_replaces_at_most_one_watcher():
+    names = {f"entry-{i}" for i in range(50)}
+    chosen = choose_watchers("bne-1", names)
+    for lost in names:
+        left = choose_watchers("bne-1", names - {lost})
+        assert set(chosen) - {lost} <= set(left)
+        assert len(left) == 2
--- /dev/null
+++ b/test/coordination/test_store.py
@@ -0,0 +1,162 @@
+"""Stores converge on the highest valid version, whatever the network does."""
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from filbertshelf.coordination.store import Store, Taken
+from filbertshelf.errors import DocumentError
+from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.state.documents import Whole, digest_of, encode_entries
+from filbertshelf.state.publication import parse_publication, unflatten
+
+NODES = 3
+NODE = st.integers(0, NODES - 1)
+
+
+def content(size, policies):
+    """Return a publication; a fleet of size 0 is not valid."""
+    table = {name: {"deadline_ms": ms} for name, ms in policies.items()}
+    return {"fleet": {"instances": size}, "policies": table}
+
+
+CONTENTS = st.builds(
+    content,
+    st.integers(0, 2),
+    st.dictionaries(st.sampled_from("abcd"), st.sampled_from([1, 2])),
+)
+
+
+class Spread(RuleBasedStateMachine):
+    """Offers are delivered late, twice, in any order, or never."""
+
+    def __init__(self):
+        super().__init__()
+        self.stores = [Store() for _ in range(NODES)]
+        self.seen = [store.versions() for store in self.stores]
+        self.in_transit = []
+        self.published = []
+
+    @rule(node=NODE, revision=st.integers(0, 4), body=CONTENTS)
+    def read_platform(self, node, revision, body):
+        """Any replica of the platform may be stale or give a revision twice."""
+        self.published.append((revision, body))
+        self.stores[node].from_platform("config", PlatformDocument(revision, body))
+
+    @rule(source=NODE, receiver=NODE)
+    def offer(self, source, receiver):
+        """Put the change in transit that an offer leads to."""
+        self._offer(source, receiver)
+
+    @precondition(lambda self: self.in_transit)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver(self, data, again):
+        """Deliver any change in transit, perhaps not for the last time."""
+        index = data.draw(st.integers(0, len(self.in_transit) - 1))
+        target, change = self.in_transit[index]
+        self._deliver(target, change)
+        if not again:
+            del self.in_transit[index]
+
+    @invariant()
+    def versions_never_go_down(self):
+        """Check promise 8."""
+        for store, seen in zip(self.stores, self.seen, strict=True):
+            for name, version in store.versions().items():
+                assert version >= seen[name]
+                seen[name] = version
+
+    @invariant()
+    def only_a_valid_publication_is_in_force(self):
+        """Check that the invalid fleet size 0 is in force nowhere."""
+        for store in self.stores:
+            assert store.publication is None or store.publication.fleet.instances > 0
+
+    def teardown(self):
+        """Let all hear from all; all then hold the highest valid version."""
+        for _ in range(2):
+            for source in range(NODES):
+                for target in range(NODES):
+                    self.in_transit.clear()
+                    self._offer(source, target)
+                    for receiver, change in self.in_transit:
+                        self._deliver(receiver, change)
+        held = {store.version("config") for store in self.stores}
+        assert len(held) == 1
+        assert all(s.publication == self.stores[0].publication for s in self.stores)
+        valid = [r for r, body in self.published if body["fleet"]["instances"]]
+        assert held.pop().revision == max(valid, default=-1)
+
+    def _offer(self, source, target):
+        version = self.stores[source].version("config")
+        if self.stores[target].wants("config", version):
+            held = self.stores[target].version("config")
+            change = self.stores[source].change_since("config", held)
+            self.in_transit.append((target, change))
+
+    def _deliver(self, target, change):
+        try:
+            self.stores[target].from_peer("config", change, "peer")
+        except DocumentError:
+            # The delta is from a version that the receiver has left meanwhile.
+            assert change.base != self.stores[target].version("config")
+
+
+TestSpread = Spread.TestCase
+TestSpread.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=30
+)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"fleet": {"instances": 0}},
+        {"polices": {}},
+        {"services": []},
+        {"services": {"a": {"shards": {"0": ["nowhere"]}}}},
+        {"policies": {"a": {"selector": "("}}},
+    ],
+)
+def test_an_invalid_publication_is_refused_once_and_the_previous_stays(body, log):
+    """Guards against a bad publication that takes effect or floods the log."""
+    store = Store()
+    store.from_platform("config", PlatformDocument(1, content(2, {})))
+    for _ in range(3):
+        found = PlatformDocument(2, body)
+        assert store.from_platform("config", found) is Taken.REFUSED
+    assert store.publication.fleet.instances == 2
+    assert store.version("config").revision == 1
+    assert [m["event"] for m in log].count(401) == 1
+    assert store.from_platform("config", PlatformDocument(3, {})) is Taken.ACCEPTED
+
+
+@pytest.mark.parametrize(
+    "entries", [{"fleet": {"instances": 0}}, {"a/b": 1}, {"services": {}}, {"x": 1}]
+)
+def test_an_invalid_publication_from_a_peer_is_refused(entries, log):
+    """Guards against a peer of another build that accepts what this one refuses."""
+    store = Store()
+    store.from_platform("config", PlatformDocument(1, {}))
+    encoded = encode_entries(entries)
+    whole = Whole(
+        attrs.evolve(store.version("config"), revision=2, digest=digest_of(encoded)),
+        encoded,
+    )
+    assert store.from_peer("config", whole, "peer") is Taken.REFUSED
+    assert not store.wants("config", whole.version)
+    assert store.publication == parse_publication(unflatten({"fleet": {}}))
+    assert [m["event"] for m in log].count(401) == 1
+
+
+def test_a_platform_that_lost_revisions_is_ignored_and_logged_once(log):
+    """Guards against a silent conflict: the operator's change has no effect."""
+    store = Store()
+    store.from_platform("config", PlatformDocument(9, content(2, {})))
+    for _ in range(2):
+        found = PlatformDocument(3, content(1, {}))
+        assert store.from_platform("config", found) is Taken.OLDER
+    assert store.publication.fleet.instances == 2
+    assert [m["event"] for m in log].count(403) == 1
