--- /dev/null
+++ b/filbertshelf/coordination/targets.py
@@ -0,0 +1,256 @@
+"""The targets of the publication: their links and what was observed of them."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+import attrs
+import mode
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.metrics import Metrics
+from filbertshelf.settings import Settings
+from filbertshelf.state.limits import AdaptiveLimit, connection_quota
+from filbertshelf.state.outcome import Attempt, Reason, Result
+from filbertshelf.state.publication import Fleet, Publication, Target
+from filbertshelf.state.replicas import (
+    Choice,
+    TargetState,
+    choose_random,
+    choose_replica,
+)
+from filbertshelf.transport.targets import Call, Report, TargetLink
+
+PROBE_PERIOD_S = 2.0
+
+Chooser = Callable[
+    [Sequence[TargetState], random.Random, Collection[str]], Choice | None
+]
+CHOOSERS: Mapping[str, Chooser] = {
+    "adaptive": choose_replica,
+    "baseline": choose_random,
+}
+
+
+class DrainSource(enum.Enum):
+    """Who said that a target is draining."""
+
+    TARGET = "target"
+    LIST = "instance list"
+    NOTICE = "notice of a peer"
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One target with its link, its observations and its concurrency limit."""
+
+    target: Target
+    link: TargetLink
+    state: TargetState
+    quota: int
+    drain_sources: set[DrainSource] = attrs.field(factory=set)
+    died_at: float = float("-inf")
+
+
+class FixedLimit:
+    """The baseline's gate: only the connection quota counts."""
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._in_flight = 0
+
+    def try_start(self) -> bool:
+        """Count an exchange, or return False if the limit is reached."""
+        if self._in_flight >= self._limit:
+            return False
+        self._in_flight += 1
+        return True
+
+    def finished(self, latency_s: float, shed: bool = False) -> None:
+        """Count the end of an exchange."""
+        self._in_flight -= 1
+
+    def cancelled(self) -> None:
+        """Count the end of an exchange."""
+        self._in_flight -= 1
+
+
+class Targets(mode.Service):
+    """Owns the links to all targets and keeps them equal to the publication."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        on_draining: Callable[[str], None] = lambda name: None,
+        on_died: Callable[[str], None] = lambda name: None,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._entries: dict[str, Entry] = {}
+        self._inbox: asyncio.Queue[Publication] = asyncio.Queue()
+        self._choose = CHOOSERS[cfg.strategy]
+        self._adaptive = cfg.strategy == "adaptive"
+        self.on_draining = on_draining
+        self.on_died = on_died
+
+    def publish(self, publication: Publication) -> None:
+        """Bring the links in line with a publication, soon."""
+        self._inbox.put_nowait(publication)
+
+    @mode.Service.task
+    async def _apply_publications(self) -> None:
+        while not self.should_stop:
+            publication = await self._inbox.get()
+            await self.apply(publication)
+
+    async def apply(self, publication: Publication) -> None:
+        """Add, replace and remove links until they match the publication."""
+        for name in list(self._entries.keys() - publication.targets.keys()):
+            await self._remove(name, "the publication dropped it")
+        for target in publication.targets.values():
+            await self._place(target, publication.fleet)
+
+    async def _place(self, target: Target, fleet: Fleet) -> None:
+        quota = connection_quota(target, fleet)
+        entry = self._entries.get(target.name)
+        if entry is not None:
+            if (entry.target, entry.quota) == (target, quota):
+                return
+            await self._remove(target.name, "its entry changed")
+        await self._add(target, quota)
+
+    async def _add(self, target: Target, quota: int) -> None:
+        state = TargetState(target, self._clock)
+        limit = AdaptiveLimit(target.slots, quota, self._clock)
+        link = TargetLink(
+            target.name,
+            target.address,
+            quota,
+            self._clock,
+            limit if self._adaptive else FixedLimit(quota),
+            lambda report: self._on_report(target.name, report),
+        )
+        self._entries[target.name] = Entry(target, link, state, quota)
+        await self.add_runtime_dependency(link)
+        events.emit(events.TARGET_ADDED, target=target.name, address=target.address)
+        self.add_future(link.warm_up())
+
+    async def _remove(self, name: str, reason: str) -> None:
+        entry = self._entries.pop(name)
+        events.emit(events.TARGET_REMOVED, target=name, reason=reason)
+        # In-flight calls end first, so the stop must not hold up the caller.
+        self.add_future(self._stop_link(entry.link))
+
+    async def _stop_link(self, link: TargetLink) -> None:
+        await link.stop()
+        if link in self._children:
+            self._children.remove(link)
+
+    @mode.Service.task
+    async def _probe_idle(self) -> None:
+        """Ask idle targets for their state, so that a drain is seen without load."""
+        while not self.should_stop:
+            await self._clock.sleep(PROBE_PERIOD_S * (0.5 + self._rng.random()))
+            idle = [e.link for e in self._entries.values() if not e.link.load]
+            await asyncio.gather(*(link.probe() for link in idle))
+
+    def choose(
+        self, replicas: Sequence[str], exclude: Collection[str]
+    ) -> Choice | None:
+        """Return the replica for a sub-request, or None if none can take it."""
+        entries = self._entries
+        states = [entries[name].state for name in replicas if name in entries]
+        return self._choose(states, self._rng, exclude)
+
+    def submit(self, name: str, call: Call) -> None:
+        """Send a call to a target; its `done` is always called, maybe at once."""
+        entry = self._entries.get(name)
+        if entry is None:
+            call.done(call, Attempt(name, Result.NOT_RUN, Reason.NO_REPLICA))
+            return
+        done = call.done
+
+        def observed(call: Call, attempt: Attempt) -> None:
+            self._observe(entry, call, attempt)
+            done(call, attempt)
+
+        call.done = observed
+        entry.state.started()
+        entry.link.submit(call)
+
+    def cancel(self, name: str, call: Call) -> None:
+        """End a call whose answer is no longer wanted."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.link.cancel(call)
+
+    def _observe(self, entry: Entry, call: Call, attempt: Attempt) -> None:
+        # The wait in the own queue says nothing about the target.
+        latency = self._clock.monotonic() - call.started_at if call.started_at else 0.0
+        entry.state.finished(attempt.result, attempt.reason, latency)
+        if attempt.reason is Reason.DRAINING:
+            self.drain(entry.target.name, DrainSource.TARGET)
+        elif attempt.reason is Reason.CONNECTION_LOST:
+            self._count_death(entry, call)
+
+    def _count_death(self, entry: Entry, call: Call) -> None:
+        # All calls in flight are lost with a target; they are one death.
+        if call.started_at > entry.died_at:
+            entry.died_at = self._clock.monotonic()
+            self.on_died(entry.target.name)
+
+    def _on_report(self, name: str, report: Report) -> None:
+        entry = self._entries.get(name)
+        if entry is None:
+            return
+        if report.draining:
+            self.drain(name, DrainSource.TARGET)
+        else:
+            self.undrain(name, DrainSource.TARGET, DrainSource.NOTICE)
+        entry.state.observe_report(report.load, report.draining)
+
+    def apply_list(self, leaving: Collection[str]) -> None:
+        """Drain the targets that the instance list says are leaving."""
+        for name, entry in self._entries.items():
+            if name in leaving:
+                self.drain(name, DrainSource.LIST)
+            elif DrainSource.LIST in entry.drain_sources:
+                self.undrain(name, DrainSource.LIST)
+
+    def drain(self, name: str, source: DrainSource) -> None:
+        """Give a target no new work until all sources of the drain withdraw."""
+        entry = self._entries.get(name)
+        if entry is None or source in entry.drain_sources:
+            return
+        first = not entry.drain_sources
+        entry.drain_sources.add(source)
+        entry.state.draining = True
+        if first:
+            events.emit(events.TARGET_DRAINING, target=name, source=source.value)
+            self._metrics.incr("targets.draining")
+        if first and source is DrainSource.TARGET:
+            self.on_draining(name)
+
+    def undrain(self, name: str, *sources: DrainSource) -> None:
+        """Withdraw the sources' drain; a restarted target reports that it serves."""
+        entry = self._entries.get(name)
+        if entry is None or not entry.drain_sources.intersection(sources):
+            return
+        entry.drain_sources.difference_update(sources)
+        entry.state.draining = bool(entry.drain_sources)
+        if not entry.state.draining:
+            events.emit(events.TARGET_SERVING, target=name)
+
+    def states(self) -> dict[str, TargetState]:
+        """Return the observations of all targets by name."""
+        return {name: entry.state for name, entry in self._entries.items()}
--- /dev/null
+++ b/filbertshelf/protocol/notices.py
@@ -0,0 +1,48 @@
+"""Messages between instances about targets, requests and rate limits."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from filbertshelf.protocol.messages import message
+
+
+class Topic(enum.Enum):
+    """What a notice is about."""
+
+    TARGET_DRAINING = "target_draining"
+    QUERY_CONVICTED = "query_convicted"
+
+
+@message("notice")
+@attrs.frozen
+class Notice:
+    """A fact that every instance should know within a second.
+
+    `subject` is a target or a fingerprint; `seconds` says how long it holds. The
+    topic is text, so that an instance of another version can pass it on unread.
+    """
+
+    id: str
+    topic: str
+    subject: str
+    seconds: float
+
+
+@message("ask-tokens")
+@attrs.frozen
+class AskTokens:
+    """A request for unused tokens of a policy's rate limit."""
+
+    policy: str
+    tokens: float
+
+
+@message("tokens")
+@attrs.frozen
+class Tokens:
+    """Tokens that the sender has already subtracted from its own share."""
+
+    tokens: float
--- /dev/null
+++ b/filbertshelf/transport/targets.py
@@ -0,0 +1,338 @@
+"""The connections from this instance to one target."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+import aiohttp
+import attrs
+import mode
+
+from filbertshelf.clock import Clock
+from filbertshelf.errors import FilbertshelfError
+from filbertshelf.protocol import target as api
+from filbertshelf.state.outcome import Attempt, Reason, Result
+from filbertshelf.state.plan import ShardRef
+
+# A new connection costs a target up to 6 ms, so idle ones are kept for minutes.
+KEEPALIVE_S = 300.0
+CONNECT_TIMEOUT_S = 1.0
+HEALTH_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+
+_REASONS = {reason.value: reason for reason in Reason}
+
+
+def _no_check() -> None:
+    return None
+
+
+@attrs.define(eq=False)
+class Call:
+    """One sub-request; the deadline is in seconds of the monotonic clock.
+
+    `check` runs right before the first byte is written and may raise a
+    `FilbertshelfError` to stop the call. `done` gets the attempt exactly once.
+    """
+
+    sub_id: str
+    shard: ShardRef
+    verb: str
+    body: bytes
+    deadline: float
+    done: Callable[[Call, Attempt], None]
+    check: Callable[[], None] = _no_check
+    idempotency_key: str = ""
+    queued_at: float = 0.0
+    started_at: float = 0.0
+    written: bool = False
+    cancelled: bool = False
+    running: bool = False
+
+
+@attrs.frozen
+class Report:
+    """What a target said about itself in a response."""
+
+    draining: bool
+    load: int
+
+
+class Gate(Protocol):
+    """Limits how many exchanges with a target run at once."""
+
+    def try_start(self) -> bool:
+        """Count an exchange, or return False if the limit is reached."""
+
+    def finished(self, latency_s: float, shed: bool = False) -> None:
+        """Count the end of an exchange that tells of the target's load."""
+
+    def cancelled(self) -> None:
+        """Count the end of an exchange that tells nothing."""
+
+
+class TargetLink(mode.Service):
+    """Owns the connections to one target and runs the calls over them."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        quota: int,
+        clock: Clock,
+        gate: Gate,
+        on_report: Callable[[Report], None],
+    ):
+        super().__init__()
+        self.name = name
+        self.address = address
+        self.quota = quota
+        self._clock = clock
+        self._on_report = on_report
+        self._gate = gate
+        self._waiting: collections.deque[Call] = collections.deque()
+        self._cancels: collections.deque[str] = collections.deque()
+        self._running: set[asyncio.Task] = set()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def on_start(self) -> None:
+        """Open the session; connections follow with the first calls."""
+        trace = aiohttp.TraceConfig()
+        # The signal is sent right before the request's first byte is written.
+        trace.on_request_headers_sent.append(self._before_write)
+        connector = aiohttp.TCPConnector(
+            limit=self.quota, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+        )
+        self._session = aiohttp.ClientSession(
+            f"http://{self.address}", connector=connector, trace_configs=[trace]
+        )
+
+    async def on_stop(self) -> None:
+        """Wait for the running calls, then close the connections."""
+        while self._waiting:
+            self._finish(self._waiting.popleft(), Result.NOT_RUN, Reason.DRAINING)
+        if self._running:
+            await asyncio.wait(set(self._running))
+        if self._session is not None:
+            await self._session.close()
+
+    @property
+    def load(self) -> int:
+        """Return the number of calls that wait or run."""
+        return len(self._waiting) + len(self._running)
+
+    def submit(self, call: Call) -> None:
+        """Queue a call; its `done` is called when it has ended."""
+        call.queued_at = self._clock.monotonic()
+        self._waiting.append(call)
+        self._pump()
+
+    def cancel(self, call: Call) -> None:
+        """End a call whose answer is no longer wanted.
+
+        A waiting call never runs. For a running one the target is asked to stop;
+        its response is still read, so that the connection can be kept.
+        """
+        if call.cancelled:
+            return
+        call.cancelled = True
+        if call.running:
+            self._cancels.append(call.sub_id)
+        self._pump()
+
+    async def warm_up(self) -> None:
+        """Open all connections of the quota with concurrent health requests."""
+        await asyncio.gather(*(self.probe() for _ in range(self.quota)))
+
+    async def probe(self) -> bool:
+        """Return whether the target answers a health request; report its state."""
+        if self._session is None:
+            return False
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        try:
+            async with self._session.get("/v1/health", timeout=timeout) as resp:
+                await resp.read()
+                self._report(resp)
+                return resp.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    def _pump(self) -> None:
+        while self._cancels or self._waiting:
+            if not self._gate.try_start():
+                return
+            if self._cancels:
+                self._spawn(self._send_cancel(self._cancels.popleft()))
+            elif not self._start(self._waiting.popleft()):
+                self._gate.cancelled()
+
+    def _start(self, call: Call) -> bool:
+        """Run the call, or end it at once and return False."""
+        now = self._clock.monotonic()
+        if call.cancelled:
+            self._finish(call, Result.NOT_RUN, Reason.CANCELLED)
+            return False
+        if call.deadline <= now:
+            self._finish(call, Result.NOT_RUN, Reason.NO_CAPACITY)
+            return False
+        call.running = True
+        call.started_at = now
+        self._spawn(self._run(call))
+        return True
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coro)
+        self._running.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._running.discard(task)
+        self._pump()
+
+    def _finish(
+        self, call: Call, result: Result, reason: Reason, answer: Any = None
+    ) -> None:
+        latency = self._clock.monotonic() - call.queued_at
+        call.running = False
+        call.done(call, Attempt(self.name, result, reason, answer, latency))
+
+    def _count_end(self, call: Call, result: Result, reason: Reason) -> None:
+        latency = self._clock.monotonic() - call.started_at
+        if result is Result.ANSWERED or reason is Reason.TIMEOUT:
+            self._gate.finished(latency)
+        elif reason is Reason.OVERLOADED:
+            self._gate.finished(latency, shed=True)
+        else:
+            self._gate.cancelled()
+
+    async def _run(self, call: Call) -> None:
+        try:
+            result, reason, answer = await self._exchange(call)
+        except TimeoutError:
+            result, reason, answer = _broken(call, Reason.TIMEOUT)
+        except FilbertshelfError:
+            result, reason, answer = _broken(call, Reason.PAUSED)
+        except (aiohttp.ClientError, OSError, ValueError):
+            result, reason, answer = _broken(call, Reason.CONNECTION_LOST)
+        except BaseException:
+            self._gate.cancelled()
+            self._finish(call, *_broken(call, Reason.CANCELLED))
+            raise
+        self._count_end(call, result, reason)
+        self._finish(call, result, reason, answer)
+
+    async def _exchange(self, call: Call) -> tuple[Result, Reason, Any]:
+        remaining = call.deadline - self._clock.monotonic()
+        timeout = aiohttp.ClientTimeout(
+            total=max(remaining, 0.001), sock_connect=CONNECT_TIMEOUT_S
+        )
+        shard = call.shard
+        async with self._session.post(
+            api.work_path(shard.service, shard.shard, call.verb),
+            data=call.body,
+            headers=self._headers(call, remaining),
+            timeout=timeout,
+            trace_request_ctx=call,
+        ) as resp:
+            raw = await _read_body(resp)
+            self._report(resp)
+            return _judge(call, resp, raw)
+
+    def _headers(self, call: Call, remaining: float) -> dict[str, str]:
+        headers = {
+            "Content-Type": "application/json",
+            api.REQUEST_ID: call.sub_id,
+            api.INDEX_VERSION: call.shard.index_version,
+            api.GENERATION: str(call.shard.generation),
+            api.DEADLINE_MS: str(max(1, int(remaining * 1000))),
+        }
+        if call.idempotency_key:
+            headers[api.IDEMPOTENCY_KEY] = call.idempotency_key
+        return headers
+
+    async def _before_write(
+        self,
+        _session: Any,
+        context: Any,
+        _params: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        call = context.trace_request_ctx
+        if call is None:
+            return
+        call.check()
+        if call.deadline <= self._clock.monotonic():
+            raise TimeoutError
+        call.written = True
+
+    async def _send_cancel(self, sub_id: str) -> None:
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._session.delete(
+                f"/v1/work/{sub_id}", timeout=timeout
+            ) as resp:
+                await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+        finally:
+            self._gate.cancelled()
+
+    def _report(self, resp: aiohttp.ClientResponse) -> None:
+        load = resp.headers.get(api.LOAD, "")
+        draining = resp.headers.get(api.STATE) == api.DRAINING
+        self._on_report(Report(draining, int(load) if load.isdecimal() else 0))
+
+
+async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
+    parts = []
+    size = 0
+    async for part in resp.content.iter_any():
+        size += len(part)
+        if size > MAX_RESPONSE_BYTES:
+            resp.close()
+            raise ValueError("the target's response is too large")
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _broken(call: Call, reason: Reason) -> tuple[Result, Reason, Any]:
+    """Return what is known of a call whose exchange failed."""
+    if call.written:
+        return Result.UNKNOWN, reason, None
+    if reason is Reason.CONNECTION_LOST:
+        return Result.NOT_RUN, Reason.CONNECT_FAILED, None
+    return Result.NOT_RUN, reason, None
+
+
+def _judge(
+    call: Call, resp: aiohttp.ClientResponse, raw: bytes
+) -> tuple[Result, Reason, Any]:
+    """Return what a complete response means for the call.
+
+    A response with another request id belongs to another call: it proves nothing.
+    """
+    headers = resp.headers
+    if headers.get(api.REQUEST_ID) != call.sub_id:
+        return Result.UNKNOWN, Reason.BAD_RESPONSE, None
+    if headers.get(api.NOT_RUN) == "true" and resp.status in (409, 503):
+        reason = _REASONS.get(headers.get(api.REASON, ""), Reason.OVERLOADED)
+        return Result.NOT_RUN, reason, None
+    if resp.status == 499:
+        return Result.UNKNOWN, Reason.CANCELLED, None
+    if resp.status != 200:
+        return Result.UNKNOWN, Reason.TARGET_ERROR, None
+    same_version = headers.get(api.INDEX_VERSION) == call.shard.index_version
+    same_generation = headers.get(api.GENERATION) == str(call.shard.generation)
+    if not (same_version and same_generation):
+        return Result.UNKNOWN, Reason.OTHER_SNAPSHOT, None
+    try:
+        answer = json.loads(raw)
+    except ValueError:
+        return Result.UNKNOWN, Reason.BAD_RESPONSE, None
+    if not isinstance(answer, dict):
+        return Result.UNKNOWN, Reason.BAD_RESPONSE, None
+    return Result.ANSWERED, Reason.NONE, answer
--- a/test/coordination/measure_spread.py
+++ b/test/coordination/measure_spread.py
@@ -1,6 +1,6 @@
 """Prints what one changed entry of a publication costs each node.
 
-Run as `PYTHONPATH=.:test/coordination python test/coordination/measure_spread.py`.
+Run as `PYTHONPATH=. python -m test.coordination.measure_spread`.
 Bytes are those of the encoded messages, without WebSocket and TCP headers. The network
 and the platform are fakes with a fixed one-way latency.
 """
@@ -8,11 +8,10 @@
 import asyncio
 import time
 
-from configuration_fleet import Fleet
-
 from filbertshelf.coordination.store import Store
 from filbertshelf.protocol.platform import PlatformDocument
 from filbertshelf.state.documents import NO_VERSION
+from test.coordination.configuration_fleet import Fleet
 
 ENTRIES = 2_000
 LATENCY_S = 0.0015
--- a/test/coordination/test_configuration.py
+++ b/test/coordination/test_configuration.py
@@ -3,11 +3,11 @@
 import contextlib
 
 import pytest
-from configuration_fleet import Fleet
 
 from filbertshelf.errors import PublicationError
 from filbertshelf.protocol.platform import PlatformDocument
 from filbertshelf.state.watchers import choose_watchers
+from test.coordination.configuration_fleet import Fleet
 
 
 def content(number, extra=0):
