Notice a platform that goes back, and refuse documents too large for a frame

Many tiny entries can pass the platform's 1 MB as JSON and not fit the 2 MiB frame between instances, so that only watchers would hold them.

--- a/filbertshelf/coordination/platform_watch.py
+++ b/filbertshelf/coordination/platform_watch.py
@@ -20,6 +20,11 @@
 HIGHEST_RETRY_S = 4.0
 # How often an instance looks whether it has become a watcher.
 ROLE_CHECK_S = 0.5
+# After this many watches without news the document is read once. A watch above the
+# held revision doesn't show that the platform went back to a lower one, in which case
+# operators must learn that their changes have no effect, or that it holds another
+# content of the same revision.
+QUIET_WATCHES = 6
 
 
 class PlatformReader(Protocol):
@@ -74,8 +79,7 @@
 class PlatformWatch:
     """Watches one document while this instance is a watcher.
 
-    The first call of a watch is a read, also after a failure: a platform that lost
-    its state or another replica can hold a lower revision, which a watch doesn't show.
+    The first call is a read, also after a failure and after `QUIET_WATCHES`.
     """
 
     def __init__(
@@ -96,6 +100,7 @@
         self._backoff = Backoff(FIRST_RETRY_S, HIGHEST_RETRY_S, rng)
         self._wait = wait
         self._after: int | None = None
+        self._quiet = 0
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -139,6 +144,7 @@
         except PlatformMissingError:
             # Before the first publication there is nothing to read, but a watch waits.
             self._after = 0
+            self._quiet = 0
 
     async def _watch(self, after: int) -> None:
         epoch = self._owner.epoch()
@@ -150,13 +156,18 @@
             self.health.failed(exc)
             raise
         self.health.answered()
-        if found is None:
-            self._owner.answered(self._document, None, epoch)
-            self._after = max(after, self._owner.held_revision(self._document))
-        else:
+        if found is not None:
             self._take(found, epoch)
+            return
+        self._owner.answered(self._document, None, epoch)
+        self._quiet += 1
+        if self._quiet >= QUIET_WATCHES:
+            self._after = None
+        else:
+            self._after = max(after, self._owner.held_revision(self._document))
 
     def _take(self, found: PlatformDocument, epoch: int) -> None:
+        self._quiet = 0
         self._owner.answered(self._document, found, epoch)
         # A refused revision is above the held one and must not be asked for again.
         self._after = max(found.revision, self._owner.held_revision(self._document), 0)
--- a/filbertshelf/coordination/store.py
+++ b/filbertshelf/coordination/store.py
@@ -41,6 +41,13 @@
 # Problems of one refused publication that its log line lists.
 MAX_LOGGED_PROBLEMS = 5
 
+# A whole document must fit into one frame between instances, which is 2 MiB. The
+# platform's limit of 1 MB of JSON leaves it below this except for a very large number
+# of tiny entries, whose keys are longer here than in the JSON.
+MAX_ENCODED_BYTES = 1_900_000
+# Upper bound of what CBOR adds to the bytes of an entry's key and value.
+ENTRY_OVERHEAD_BYTES = 10
+
 # Nesting that the JSON parser accepts can be too deep for the check.
 _INVALID = (DocumentError, PublicationError, RecursionError)
 
@@ -121,6 +128,7 @@
                 self._note_older(document, whole.version)
             return Taken.OLDER
         try:
+            _check_size(whole)
             meaning = _READERS[document](whole)
         except _INVALID as exc:
             return self._refuse(document, whole.version, exc)
@@ -181,6 +189,18 @@
         return b""
 
 
+def _check_size(whole: Whole) -> None:
+    size = sum(
+        len(key.encode()) + len(value) + ENTRY_OVERHEAD_BYTES
+        for key, value in whole.entries.items()
+    )
+    if size > MAX_ENCODED_BYTES:
+        raise DocumentError(
+            f"the entries need {size} bytes, the limit is {MAX_ENCODED_BYTES}; "
+            "publish fewer entries"
+        )
+
+
 def _read_config(whole: Whole) -> Publication:
     entries = decode_entries(whole.entries)
     try:
--- a/test/coordination/test_configuration.py
+++ b/test/coordination/test_configuration.py
@@ -90,6 +90,19 @@
         assert fleet.at(5) == 7
 
 
+async def test_a_platform_that_goes_back_is_noticed_and_not_followed(log):
+    """Guards against changes by operators that silently have no effect."""
+    async with running(6) as fleet:
+        fleet.platform.publish(5, content(5))
+        await fleet.run(20, lambda: fleet.at(5) == 6)
+        fleet.platform.publish(2, content(2))
+        await fleet.run(80)
+        assert fleet.at(5) == 6
+    offered = [m["offered"] for m in log if m.get("event") == 403]
+    assert len(offered) == 6
+    assert {text.split("-")[0] for text in offered} == {"2"}
+
+
 async def test_an_invalid_publication_is_refused_everywhere_and_not_offered(log):
     async with running(6) as fleet:
         fleet.platform.publish(2, {"fleet": {"instances": 0}})
--- a/test/coordination/test_store.py
+++ b/test/coordination/test_store.py
@@ -118,6 +118,8 @@
         {"services": []},
         {"services": {"a": {"shards": {"0": ["nowhere"]}}}},
         {"policies": {"a": {"selector": "("}}},
+        # Below 1 MB as JSON, but over the size of a frame between instances.
+        {"policies": {str(i): {} for i in range(80_000)}},
     ],
 )
 def test_an_invalid_publication_is_refused_once_and_the_previous_stays(body, log):
