--- /dev/null
+++ b/filbertshelf/bench/experiment.py
@@ -0,0 +1,133 @@
+"""Runs scenarios under several strategies and collects what was measured."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from filbertshelf.bench.fleet import Fleet, FleetConfig
+from filbertshelf.bench.load import LoadConfig, LoadResult, run_load
+from filbertshelf.bench.processes import COMMAND, Processes
+from filbertshelf.bench.scenarios import SCENARIOS, Scenario, play
+from filbertshelf.clock import Clock
+from filbertshelf.standins.profiles import (
+    HATSTAND,
+    Profile,
+    ordinary_rate_per_s,
+    scaled,
+)
+
+STRATEGIES = ("baseline", "adaptive")
+
+
+@attrs.frozen(kw_only=True)
+class ExperimentConfig:
+    """Which scenarios are run, on which fleet, and for how long."""
+
+    profile: Profile = HATSTAND
+    scale: float = 0.2
+    scenarios: tuple[Scenario, ...] = tuple(SCENARIOS.values())
+    strategies: tuple[str, ...] = STRATEGIES
+    duration_s: float = 10.0
+    warm_up_s: float = 2.0
+    seed: int = 1
+    command: Sequence[str] = COMMAND
+
+
+@attrs.frozen(kw_only=True)
+class Measurement:
+    """One scenario under one strategy; CPU time is that of all instances."""
+
+    scenario: str
+    strategy: str
+    load: LoadResult
+    instance_cpu_s: float
+    executions: int
+    """Work that targets began."""
+    connections_refused: int
+    """Connections over a target's cap."""
+    peak_connections: int
+    """The most connections that one target had at once."""
+
+    @property
+    def cpu_us_per_sub_request(self) -> float:
+        """Return the CPU time of the instances for each sub-request, in µs."""
+        sent = self.load.sub_requests
+        return self.instance_cpu_s * 1e6 / sent if sent else 0.0
+
+
+async def run_experiment(
+    cfg: ExperimentConfig,
+    clock: Clock,
+    on_measured: Callable[[Measurement], None] = lambda measurement: None,
+) -> tuple[Measurement, ...]:
+    """Return a measurement for each scenario and strategy, each on a new fleet."""
+    found = []
+    for scenario in cfg.scenarios:
+        for strategy in cfg.strategies:
+            measurement = await _run_one(cfg, scenario, strategy, clock)
+            on_measured(measurement)
+            found.append(measurement)
+    return tuple(found)
+
+
+async def _run_one(
+    cfg: ExperimentConfig, scenario: Scenario, strategy: str, clock: Clock
+) -> Measurement:
+    fleet_cfg = FleetConfig(
+        profile=scaled(cfg.profile, cfg.scale),
+        strategy=strategy,
+        cold_s=scenario.cold_s,
+        seed=cfg.seed,
+    )
+    with (
+        tempfile.TemporaryDirectory(prefix="filbertshelf-bench-") as folder,
+        Processes(Path(folder), cfg.command) as processes,
+    ):
+        async with Fleet(fleet_cfg, processes) as fleet:
+            return await _measure(cfg, scenario, fleet, clock)
+
+
+async def _measure(
+    cfg: ExperimentConfig, scenario: Scenario, fleet: Fleet, clock: Clock
+) -> Measurement:
+    ordinary = ordinary_rate_per_s(fleet.cfg.profile)
+    load = LoadConfig(
+        entries=tuple(fleet.entries.values()),
+        mix=fleet.cfg.profile.requests,
+        rate_per_s=ordinary,
+        duration_s=cfg.warm_up_s,
+        seed=cfg.seed,
+    )
+    await run_load(load, clock)
+    await fleet.clear()
+    cpu_before = fleet.cpu_seconds()
+    load = attrs.evolve(
+        load,
+        rate_per_s=ordinary * scenario.load_factor,
+        duration_s=cfg.duration_s,
+        seed=cfg.seed + 1,
+    )
+    async with asyncio.TaskGroup() as group:
+        group.create_task(play(scenario, cfg.duration_s, fleet, clock))
+        loading = group.create_task(run_load(load, clock))
+    cpu_s = fleet.cpu_seconds() - cpu_before
+    counters = [history["counters"] for history in await fleet.histories()]
+    return Measurement(
+        scenario=scenario.name,
+        strategy=fleet.cfg.strategy,
+        load=loading.result(),
+        instance_cpu_s=cpu_s,
+        executions=_total(counters, "executions"),
+        connections_refused=_total(counters, "connections_refused"),
+        peak_connections=max(item["peak_connections"] for item in counters),
+    )
+
+
+def _total(counters: Sequence[Mapping[str, Any]], name: str) -> int:
+    return sum(item[name] for item in counters)
--- /dev/null
+++ b/filbertshelf/bench/processes.py
@@ -0,0 +1,179 @@
+"""Starts, signals and ends the processes of an experiment, by process id."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from types import FrameType, TracebackType
+from typing import Any, Self
+
+import attrs
+
+from filbertshelf.errors import ExperimentError
+
+COMMAND = (sys.executable, "-m", "filbertshelf.commands.main")
+START_TIMEOUT_S = 20.0
+# An instance drains before it stops; what is left after this is killed.
+STOP_TIMEOUT_S = 5.0
+POLL_S = 0.02
+LOG_TAIL_BYTES = 2_000
+
+
+@attrs.frozen(eq=False)
+class Started:
+    """A process of the experiment."""
+
+    name: str
+    popen: subprocess.Popen
+    ready_file: Path
+    log_file: Path
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    def log_tail(self) -> str:
+        """Return the end of what the process wrote to its output."""
+        return self.log_file.read_bytes()[-LOG_TAIL_BYTES:].decode(errors="replace")
+
+
+class Processes:
+    """The processes that one experiment started; leaving the context ends them all.
+
+    SIGTERM to the experiment raises `SystemExit` inside the context, so that it
+    ends its processes then too.
+    """
+
+    def __init__(self, folder: Path, command: Sequence[str] = COMMAND):
+        self.folder = folder
+        self._command = tuple(command)
+        self._started: dict[str, Started] = {}
+        self._old_handler: Any = None
+
+    def __enter__(self) -> Self:
+        """Take over SIGTERM, which only the main thread can."""
+        if threading.current_thread() is threading.main_thread():
+            self._old_handler = signal.signal(signal.SIGTERM, _exit)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        try:
+            self.stop_all()
+        finally:
+            if self._old_handler is not None:
+                signal.signal(signal.SIGTERM, self._old_handler)
+
+    def ready_file(self, name: str) -> Path:
+        """Return the path at which the process `name` reports its addresses."""
+        return self.folder / f"{name}.ready.json"
+
+    def start(self, name: str, *args: str) -> Started:
+        """Start a process with these arguments of the command line.
+
+        The process has to write its bound addresses to `ready_file(name)`.
+        """
+        if name in self._started:
+            raise ValueError(f"process {name!r} was already started")
+        ready_file = self.ready_file(name)
+        ready_file.unlink(missing_ok=True)
+        log_file = self.folder / f"{name}.log"
+        with log_file.open("wb") as log:
+            popen = subprocess.Popen(
+                [*self._command, *args],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                # A Ctrl-C at the terminal reaches only the experiment, which then
+                # ends its processes in order.
+                start_new_session=True,
+            )
+        self._started[name] = Started(name, popen, ready_file, log_file)
+        return self._started[name]
+
+    async def addresses(self, name: str) -> Mapping[str, Any]:
+        """Return what the process reported once it has started.
+
+        Raises `ExperimentError` if it ends or takes longer than `START_TIMEOUT_S`.
+        """
+        proc = self._started[name]
+        give_up_at = time.monotonic() + START_TIMEOUT_S
+        while not proc.ready_file.exists():
+            remedy = f"read its output: {proc.log_tail().strip()}"
+            code = proc.popen.poll()
+            if code is not None:
+                raise ExperimentError(f"{name} ended with exit code {code}", remedy)
+            if time.monotonic() > give_up_at:
+                raise ExperimentError(f"{name} did not start in time", remedy)
+            await asyncio.sleep(POLL_S)
+        return json.loads(proc.ready_file.read_text())
+
+    def running(self, name: str) -> bool:
+        """Return whether the process has not ended."""
+        return self._started[name].popen.poll() is None
+
+    def freeze(self, name: str) -> None:
+        """Pause the process."""
+        self._started[name].popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process run on."""
+        self._started[name].popen.send_signal(signal.SIGCONT)
+
+    def kill(self, name: str) -> None:
+        """End the process without warning and collect it."""
+        self._started[name].popen.kill()
+        self._started[name].popen.wait()
+
+    def stop(self, name: str) -> int:
+        """Ask the process to stop, kill it after a while; return its exit code."""
+        self._ask_to_stop(name)
+        return self._collect(name, time.monotonic() + STOP_TIMEOUT_S)
+
+    def stop_all(self) -> None:
+        """End all processes, all at the same time."""
+        for name in self._started:
+            self._ask_to_stop(name)
+        give_up_at = time.monotonic() + STOP_TIMEOUT_S
+        for name in self._started:
+            self._collect(name, give_up_at)
+
+    def cpu_seconds(self, name: str) -> float:
+        """Return the CPU time that the process has used so far."""
+        stat = Path(f"/proc/{self._started[name].pid}/stat").read_text()
+        # The second field is the command in parentheses and may hold spaces; after
+        # it the user and system times are the 12th and 13th, in clock ticks.
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def _ask_to_stop(self, name: str) -> None:
+        popen = self._started[name].popen
+        # A frozen process gets no SIGTERM before it runs on.
+        popen.send_signal(signal.SIGCONT)
+        popen.terminate()
+
+    def _collect(self, name: str, give_up_at: float) -> int:
+        popen = self._started[name].popen
+        try:
+            return popen.wait(max(0.0, give_up_at - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            popen.kill()
+            return popen.wait()
+
+
+def _exit(signum: int, _frame: FrameType | None) -> None:
+    sys.exit(128 + signum)
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -286,3 +286,16 @@
     """An earlier write of the same booking is not known to be without effect."""
 
     code = "second_write"
+
+
+class StandinError(UserError):
+    """A stand-in got a malformed configuration or admin request."""
+
+    code = "bad_standin_request"
+
+
+class ExperimentError(UserError):
+    """A process of an experiment did not start or did not answer."""
+
+    code = "experiment_failed"
+    exit_code = 69
--- a/filbertshelf/standins/target_host.py
+++ b/filbertshelf/standins/target_host.py
@@ -13,7 +13,7 @@
 from mode import Service
 
 from filbertshelf.clock import Clock
-from filbertshelf.errors import UserError
+from filbertshelf.errors import StandinError, UserError
 from filbertshelf.standins.target import TargetStandin
 from filbertshelf.standins.target_config import (
     Faults,
@@ -42,22 +42,16 @@
     targets: Mapping[str, str]
 
 
-class AdminError(UserError):
-    """An admin request is malformed or names an unknown target."""
-
-    code = "bad_admin_request"
-
-
 def load_host_config(path: Path) -> HostConfig:
     """Return the configuration in the JSON file.
 
-    Raises `UserError` if the file can't be read or has another shape.
+    Raises `StandinError` if the file can't be read or has another shape.
     """
     try:
         return _CONVERTER.structure(json.loads(path.read_text()), HostConfig)
     except (OSError, ValueError, cattrs.BaseValidationError) as exc:
         remedy = "write it with save_host_config"
-        raise UserError(f"{path} is not a target host file: {exc}", remedy) from exc
+        raise StandinError(f"{path} is not a target host file: {exc}", remedy) from exc
 
 
 def save_host_config(path: Path, cfg: HostConfig) -> None:
@@ -122,7 +116,7 @@
         wanted = [names] if isinstance(names, str) else names
         missing = [name for name in wanted if name not in self.targets]
         if missing:
-            raise AdminError(f"no target {missing}", "name a target of this host")
+            raise StandinError(f"no target {missing}", "name a target of this host")
         return [self.targets[name] for name in wanted]
 
     async def _history(self, req: web.Request) -> web.Response:
