--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -153,6 +153,30 @@
     "sub_requests",
 )
 
+REPLANNED = define(
+    206,
+    "query-replanned",
+    "The snapshot is gone; all answers are dropped and the query is planned again.",
+    "request_id",
+    "reason",
+)
+STOPPED_WAITING = define(
+    207,
+    "query-stopped-waiting",
+    "The query ended with shards still outstanding.",
+    "request_id",
+    "outstanding",
+    "reason",
+)
+CANARY_STARTED = define(
+    208,
+    "canary-started",
+    "One shard gets the query first, because it may crash targets.",
+    "request_id",
+    "fingerprint",
+    "verdict",
+)
+
 # 3xx: targets and placement.
 TARGET_ADDED = define(
     300, "target-added", "A target joined the publication.", "target", "address"
@@ -164,6 +188,10 @@
     302, "target-draining", "The target gets no new work.", "target", "source"
 )
 
+TARGET_SERVING = define(
+    303, "target-serving", "A draining target serves again.", "target"
+)
+
 # 4xx: configuration.
 CONFIG_ACCEPTED = define(
     400,
@@ -190,6 +218,66 @@
     "reason",
     level=Level.WARNING,
 )
+CONFIG_OLDER = define(
+    403,
+    "configuration-older",
+    "A lower version than the one in force was offered and has no effect.",
+    "document",
+    "offered",
+    "held",
+    level=Level.WARNING,
+)
+PLATFORM_RECOVERED = define(
+    404, "platform-recovered", "The platform answers again.", "failures"
+)
+WATCH_CHANGED = define(
+    405,
+    "platform-watch-changed",
+    "The instance starts or stops watching the platform for its data centre.",
+    "watching",
+    "watchers",
+)
+FETCH_FAILED = define(
+    406,
+    "configuration-fetch-failed",
+    "A peer that offered a higher version did not deliver it.",
+    "document",
+    "peer",
+    "reason",
+    level=Level.WARNING,
+)
+CONFIG_UNCONFIRMED = define(
+    407,
+    "configuration-unconfirmed",
+    "The process paused; its configuration must be confirmed before it serves.",
+    "config",
+    level=Level.WARNING,
+)
+CONFIG_CONFIRMED = define(
+    408,
+    "configuration-confirmed",
+    "The held versions are the highest that were seen.",
+    "config",
+    "instances",
+    "reason",
+)
+ROW_IGNORED = define(
+    409,
+    "instance-row-ignored",
+    "A row of the platform's instance list can't be read.",
+    "row",
+    "revision",
+    "reason",
+    level=Level.WARNING,
+)
+SUBSCRIBER_FAILED = define(
+    410,
+    "configuration-subscriber-failed",
+    "A part of the instance could not apply an accepted document.",
+    "document",
+    "reason",
+    level=Level.ERROR,
+)
 
 # 5xx: peers and membership.
 PEERS_LISTENING = define(
@@ -399,3 +487,32 @@
     "reason",
     level=Level.ERROR,
 )
+
+# 7xx: limits and admission.
+QUEUED = define(
+    700,
+    "request-queued",
+    "The request waits for admission.",
+    "request_id",
+    "caller",
+    "reason",
+)
+RATE_TOKENS_MOVED = define(
+    701,
+    "rate-tokens-received",
+    "A peer gave up unused tokens of a rate limit.",
+    "policy",
+    "peer",
+    "tokens",
+)
+
+# 8xx: quarantine.
+CONVICTED = define(
+    800,
+    "query-quarantined",
+    "A query crashed targets and is refused for some time.",
+    "fingerprint",
+    "source",
+    "seconds",
+    level=Level.ERROR,
+)
--- a/filbertshelf/settings.py
+++ b/filbertshelf/settings.py
@@ -13,6 +13,7 @@
 from filbertshelf.errors import Problem, SettingsError
 
 MIN_KEY_CHARS = 16
+STRATEGIES = ("adaptive", "baseline")
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -51,6 +52,12 @@
     return value
 
 
+def _strategy(text: str) -> str:
+    if text not in STRATEGIES:
+        raise ValueError("the strategy is unknown")
+    return text
+
+
 def _count(text: str) -> int:
     value = int(text)
     if not 0 < value <= 1_000_000:
@@ -103,6 +110,9 @@
     statsd: tuple[str, int] | None = _setting(
         "metrics", _optional_address, "write IP:PORT or leave it empty", ""
     )
+    strategy: str = _setting(
+        "limits", _strategy, f"write one of {', '.join(STRATEGIES)}", "adaptive"
+    )
     log_file: str = _setting("logs", str, "write a path; empty means stderr", "")
     ready_file: str = _setting(
         "instance", str, "write a path for the bound addresses, or leave it empty", ""
