--- a/filbertshelf/bench/fleet.py
+++ b/filbertshelf/bench/fleet.py
@@ -136,7 +136,7 @@
 
     def _start_stand_ins(self) -> list[str]:
         ready = self._processes.ready_file(PLATFORM)
-        self._processes.start(PLATFORM, "standin-platform", "--ready_file", str(ready))
+        self._processes.start(PLATFORM, "standin-platform", str(ready))
         configs = profiles.target_configs(self.cfg.profile, self.cfg.seed)
         configs = [attrs.evolve(cfg, cold_s=self.cfg.cold_s) for cfg in configs]
         names = []
--- /dev/null
+++ b/filbertshelf/bench/load.py
@@ -0,0 +1,253 @@
+"""An open-loop load generator for the caller API."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import enum
+import random
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import aiohttp
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from filbertshelf.clock import Clock
+from filbertshelf.standins.profiles import RequestKind
+
+MAX_LATENCY_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+# An instance answers by the deadline; a request that is silent for longer failed.
+GRACE_S = 1.0
+
+
+class Ending(enum.Enum):
+    """What became of a request from the caller's point of view."""
+
+    WHOLE = "whole"
+    PARTIAL = "partial"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    """No usable response, or too many requests were outstanding to send it."""
+
+
+ANSWERS = frozenset({Ending.WHOLE, Ending.PARTIAL})
+_ENDINGS = {ending.value: ending for ending in Ending}
+
+
+@attrs.frozen(kw_only=True)
+class LoadConfig:
+    """A load: who is asked, how often, and for how long."""
+
+    entries: tuple[str, ...]
+    """Addresses of instances; each request goes to a random one."""
+    mix: tuple[RequestKind, ...]
+    rate_per_s: float
+    duration_s: float
+    seed: int = 1
+    max_outstanding: int = 2_000
+    """Requests beyond this many outstanding ones are not sent and count as failed."""
+
+
+@attrs.frozen
+class Arrival:
+    """A request to send; `at_s` is its intended start after the load's start."""
+
+    at_s: float
+    number: int
+    kind: RequestKind
+    entry: str
+
+
+@attrs.frozen(kw_only=True)
+class LoadResult:
+    """What a load measured.
+
+    Latencies are counted from the intended start. The percentiles cover all requests
+    but those that were refused as not run; a request without a usable response
+    counts with the time until its caller gave up.
+    """
+
+    sent: int
+    counts: Mapping[Ending, int]
+    refusals: Mapping[str, int]
+    """Refused requests by the code of the refusal."""
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    whole_share: float
+    """Whole answers as a share of all requests."""
+    mean_coverage: float
+    """Mean share of the planned shards over the answers, whole or partial."""
+    planned: int
+    """Planned shards of the queries that sent any: the least number to send."""
+    sub_requests: int
+    on_time: int
+    """Answers within the request's own deadline."""
+    goodput_per_s: float
+    """Answers on time per second of the load."""
+    urgent_share: float
+    """Share of answers on time, each request weighted by its urgency + 1."""
+    worst_delay_ms: float
+    """How late the generator itself was at worst in sending a request."""
+
+    @property
+    def extra_sub_requests(self) -> float:
+        """Return the share of sub-requests beyond one for each planned shard."""
+        return self.sub_requests / self.planned - 1 if self.planned else 0.0
+
+
+def arrivals(cfg: LoadConfig) -> Iterator[Arrival]:
+    """Yield the Poisson arrivals of the load; the same seed gives the same ones."""
+    rng = random.Random(f"load/{cfg.seed}")
+    weights = [kind.weight for kind in cfg.mix]
+    at_s = rng.expovariate(cfg.rate_per_s)
+    number = 0
+    while at_s < cfg.duration_s:
+        kind = rng.choices(cfg.mix, weights)[0]
+        yield Arrival(at_s, number, kind, rng.choice(cfg.entries))
+        number += 1
+        at_s += rng.expovariate(cfg.rate_per_s)
+
+
+async def run_load(cfg: LoadConfig, clock: Clock) -> LoadResult:
+    """Send the load and return its result.
+
+    Ends at the latest `GRACE_S` after the last request's deadline.
+    """
+    connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        return await _Load(cfg, clock, session).run()
+
+
+class _Load:
+    """One run of a load."""
+
+    def __init__(self, cfg: LoadConfig, clock: Clock, session: aiohttp.ClientSession):
+        self._cfg = cfg
+        self._clock = clock
+        self._session = session
+        self._tally = _Tally()
+        self._outstanding: set[asyncio.Task] = set()
+
+    async def run(self) -> LoadResult:
+        start = self._clock.monotonic()
+        for arrival in arrivals(self._cfg):
+            intended = start + arrival.at_s
+            wait = intended - self._clock.monotonic()
+            if wait > 0:
+                await self._clock.sleep(wait)
+            self._dispatch(arrival, intended)
+        if self._outstanding:
+            await asyncio.wait(set(self._outstanding))
+        return self._tally.result(self._cfg.duration_s)
+
+    def _dispatch(self, arrival: Arrival, intended: float) -> None:
+        self._tally.sent(arrival.kind, self._clock.monotonic() - intended)
+        if len(self._outstanding) >= self._cfg.max_outstanding:
+            deadline_s = arrival.kind.deadline_ms / 1000
+            self._tally.ended(arrival.kind, Ending.FAILED, deadline_s, {})
+            return
+        task = asyncio.create_task(self._request(arrival, intended))
+        self._outstanding.add(task)
+        task.add_done_callback(self._outstanding.discard)
+
+    async def _request(self, arrival: Arrival, intended: float) -> None:
+        try:
+            doc = await self._post(arrival)
+            ending = _ENDINGS.get(doc.get("outcome", ""), Ending.FAILED)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            doc, ending = {}, Ending.FAILED
+        latency_s = self._clock.monotonic() - intended
+        self._tally.ended(arrival.kind, ending, latency_s, doc)
+
+    async def _post(self, arrival: Arrival) -> Mapping[str, Any]:
+        timeout = aiohttp.ClientTimeout(total=arrival.kind.deadline_ms / 1000 + GRACE_S)
+        async with self._session.post(
+            f"http://{arrival.entry}/v1/query",
+            json=arrival.kind.body(arrival.number),
+            timeout=timeout,
+        ) as resp:
+            doc = await resp.json()
+        if not isinstance(doc, dict):
+            raise ValueError("the response is not a JSON object")
+        return doc
+
+
+class _Tally:
+    """Counts the requests of one load."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self._counts: collections.Counter[Ending] = collections.Counter()
+        self._refusals: collections.Counter[str] = collections.Counter()
+        self._sent = 0
+        self._planned = 0
+        self._sub_requests = 0
+        self._coverage = 0.0
+        self._on_time = 0
+        self._weight = 0
+        self._weight_on_time = 0
+        self._worst_delay_s = 0.0
+
+    def sent(self, kind: RequestKind, delay_s: float) -> None:
+        self._sent += 1
+        self._weight += kind.urgency + 1
+        self._worst_delay_s = max(self._worst_delay_s, delay_s)
+
+    def ended(
+        self,
+        kind: RequestKind,
+        ending: Ending,
+        latency_s: float,
+        doc: Mapping[str, Any],
+    ) -> None:
+        self._counts[ending] += 1
+        if ending is Ending.NOT_RUN:
+            self._refusals[str(doc.get("code") or doc.get("reason", ""))] += 1
+        else:
+            micros = max(1, round(latency_s * 1e6))
+            self._histogram.record_value(min(micros, MAX_LATENCY_US))
+        if doc.get("sub_requests"):
+            # Those of queries that came to nothing are load on the targets too.
+            self._sub_requests += doc["sub_requests"]
+            self._planned += doc.get("coverage", {}).get("planned", 0)
+        if ending in ANSWERS:
+            self._answered(kind, latency_s, doc.get("coverage", {}))
+
+    def _answered(
+        self, kind: RequestKind, latency_s: float, coverage: Mapping[str, Any]
+    ) -> None:
+        planned = coverage.get("planned", 0)
+        self._coverage += coverage.get("answered", 0) / planned if planned else 1.0
+        if latency_s * 1000 <= kind.deadline_ms:
+            self._on_time += 1
+            self._weight_on_time += kind.urgency + 1
+
+    def result(self, duration_s: float) -> LoadResult:
+        answers = sum(self._counts[ending] for ending in ANSWERS)
+        return LoadResult(
+            sent=self._sent,
+            counts={ending: self._counts[ending] for ending in Ending},
+            refusals=dict(self._refusals),
+            p50_ms=self._percentile_ms(50),
+            p99_ms=self._percentile_ms(99),
+            p999_ms=self._percentile_ms(99.9),
+            whole_share=_share(self._counts[Ending.WHOLE], self._sent),
+            mean_coverage=_share(self._coverage, answers),
+            planned=self._planned,
+            sub_requests=self._sub_requests,
+            on_time=self._on_time,
+            goodput_per_s=self._on_time / duration_s,
+            urgent_share=_share(self._weight_on_time, self._weight),
+            worst_delay_ms=self._worst_delay_s * 1000,
+        )
+
+    def _percentile_ms(self, percentile: float) -> float:
+        return self._histogram.get_value_at_percentile(percentile) / 1000
+
+
+def _share(part: float, whole: float) -> float:
+    return part / whole if whole else 0.0
--- a/filbertshelf/standins/target.py
+++ b/filbertshelf/standins/target.py
@@ -90,7 +90,8 @@
         counters = self._standin.counters
         if len(self.open) >= self._standin.cfg.connections:
             counters.connections_refused += 1
-            transport.abort()
+            # The handler's task has to start before its connection is lost.
+            asyncio.get_running_loop().call_soon(transport.abort)
             return
         self.open[handler] = transport
         self.fresh.add(handler)
--- a/filbertshelf/standins/target_host.py
+++ b/filbertshelf/standins/target_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
@@ -32,7 +31,7 @@
     targets: tuple[TargetConfig, ...]
     admin_listen: str = "127.0.0.1:0"
     ready_file: str = ""
-    """Path of a JSON file with the bound addresses; empty for none."""
+    """Path of the JSON file that gets the bound addresses; empty for none."""
 
 
 @attrs.frozen(kw_only=True)
@@ -60,11 +59,6 @@
     path.write_text(json.dumps(_CONVERTER.unstructure(cfg)))
 
 
-def load_addresses(path: Path) -> Addresses:
-    """Return the addresses that a host wrote to its ready file."""
-    return _CONVERTER.structure(json.loads(path.read_text()), Addresses)
-
-
 class TargetHost(Service):
     """Runs targets and serves `/admin/...` for all of them.
 
@@ -123,7 +117,7 @@
         path = Path(self.cfg.ready_file)
         part = path.with_name(path.name + ".part")
         part.write_text(json.dumps(_CONVERTER.unstructure(self.addresses())))
-        os.replace(part, path)
+        part.replace(path)
 
     def _selected(self, names: object) -> Iterable[TargetStandin]:
         if names is None:
--- a/test/standins/test_profiles.py
+++ b/test/standins/test_profiles.py
@@ -18,15 +18,12 @@
 
 def parsed(profile):
     addresses = {
-        leaf.name: f"127.0.0.1:{9000 + i}" for i, leaf in enumerate_leaves(profile)
+        leaf.name: f"127.0.0.1:{9000 + number}"
+        for number, leaf in enumerate(leaves(profile))
     }
     return parse_publication(publication(profile, addresses))
 
 
-def enumerate_leaves(profile):
-    return enumerate(leaves(profile))
-
-
 @EACH
 @pytest.mark.parametrize("scale", [1.0, 0.2, 0.04])
 def test_the_publication_is_valid_and_fits_the_targets(profile, scale):
