--- a/filbertshelf/standins/target_host.py
+++ b/filbertshelf/standins/target_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
@@ -14,7 +13,7 @@
 from mode import Service
 
 from filbertshelf.clock import Clock
-from filbertshelf.errors import UserError
+from filbertshelf.errors import StandinError, UserError
 from filbertshelf.standins.target import TargetStandin
 from filbertshelf.standins.target_config import (
     Faults,
@@ -32,7 +31,7 @@
     targets: tuple[TargetConfig, ...]
     admin_listen: str = "127.0.0.1:0"
     ready_file: str = ""
-    """Path of a JSON file with the bound addresses; empty for none."""
+    """Path of the JSON file that gets the bound addresses; empty for none."""
 
 
 @attrs.frozen(kw_only=True)
@@ -43,22 +42,16 @@
     targets: Mapping[str, str]
 
 
-class AdminError(UserError):
-    """An admin request is malformed or names an unknown target."""
-
-    code = "bad_admin_request"
-
-
 def load_host_config(path: Path) -> HostConfig:
     """Return the configuration in the JSON file.
 
-    Raises `UserError` if the file can't be read or has another shape.
+    Raises `StandinError` if the file can't be read or has another shape.
     """
     try:
         return _CONVERTER.structure(json.loads(path.read_text()), HostConfig)
     except (OSError, ValueError, cattrs.BaseValidationError) as exc:
         remedy = "write it with save_host_config"
-        raise UserError(f"{path} is not a target host file: {exc}", remedy) from exc
+        raise StandinError(f"{path} is not a target host file: {exc}", remedy) from exc
 
 
 def save_host_config(path: Path, cfg: HostConfig) -> None:
@@ -66,11 +59,6 @@
     path.write_text(json.dumps(_CONVERTER.unstructure(cfg)))
 
 
-def load_addresses(path: Path) -> Addresses:
-    """Return the addresses that a host wrote to its ready file."""
-    return _CONVERTER.structure(json.loads(path.read_text()), Addresses)
-
-
 class TargetHost(Service):
     """Runs targets and serves `/admin/...` for all of them.
 
@@ -129,7 +117,7 @@
         path = Path(self.cfg.ready_file)
         part = path.with_name(path.name + ".part")
         part.write_text(json.dumps(_CONVERTER.unstructure(self.addresses())))
-        os.replace(part, path)
+        part.replace(path)
 
     def _selected(self, names: object) -> Iterable[TargetStandin]:
         if names is None:
@@ -137,7 +125,7 @@
         wanted = [names] if isinstance(names, str) else names
         missing = [name for name in wanted if name not in self.targets]
         if missing:
-            raise AdminError(f"no target {missing}", "name a target of this host")
+            raise StandinError(f"no target {missing}", "name a target of this host")
         return [self.targets[name] for name in wanted]
 
     async def _history(self, req: web.Request) -> web.Response:
