--- a/filbertshelf/state/replicas.py
+++ b/filbertshelf/state/replicas.py
@@ -30,10 +30,15 @@
 """
 
 FAILURE_LATENCY_S = 1.0
-"""What a failure counts as; far above any healthy target's latency."""
+FAILURE_FACTOR = 10.0
+"""A failure counts as the larger of this time and this multiple of the usual latency.
+
+A failure is often quick and must not look like speed, also where answers are slow.
+"""
 
 SHED_LATENCY_S = 0.25
-"""What a refusal counts as; a refusal is quick and must not look like speed."""
+SHED_FACTOR = 2.0
+"""The same for a refusal, which is a sign of load and not of a fault."""
 
 TIMEOUT_FACTOR = 3.0
 """A timeout is the target's failure only above this multiple of its usual latency.
@@ -117,6 +122,7 @@
     __slots__ = (
         "_answers",
         "_breaker",
+        "_choices",
         "_clock",
         "_latency",
         "_open_s",
@@ -154,6 +160,7 @@
         self._used_at = float("-inf")
         self._ramp_from: float | None = None
         self._answers = 0
+        self._choices: dict[str, Choice] = {}
 
     @property
     def breaker(self) -> Breaker:
@@ -185,7 +192,9 @@
         if result is Result.ANSWERED:
             self._answered(latency_s)
         elif reason in _FAILED or self._is_late(reason, latency_s):
-            self._sample(max(latency_s, FAILURE_LATENCY_S))
+            self._sample(
+                max(latency_s, FAILURE_LATENCY_S, FAILURE_FACTOR * self._usual)
+            )
             self._failed()
         elif reason in _SHED:
             self._shed(reason, latency_s)
@@ -210,22 +219,34 @@
 
     def cost(self) -> float:
         """Return (in flight + 1) x average latency in seconds."""
+        return self.cost_at(self._clock.monotonic())
+
+    def cost_at(self, now: float) -> float:
+        """Return `cost` for a caller that has read the clock."""
         latency = self._latency
         if latency:
-            idle = self._clock.monotonic() - self._sample_at
-            latency *= exp(-idle / IDLE_TIME_S)
-        return (self.in_flight + 1) * max(latency, MIN_LATENCY_S)
+            latency *= exp((self._sample_at - now) / IDLE_TIME_S)
+        if latency < MIN_LATENCY_S:
+            latency = MIN_LATENCY_S
+        return (self.in_flight + 1) * latency
 
     def report_factor(self) -> float:
         """Return 1.0 to 2.0 from the load that others put on the target."""
+        return self.report_factor_at(self._clock.monotonic())
+
+    def report_factor_at(self, now: float) -> float:
+        """Return `report_factor` for a caller that has read the clock."""
         others = self._report - self.in_flight
-        if others <= 0 or self._clock.monotonic() - self._report_at > REPORT_FRESH_S:
+        if others <= 0 or now - self._report_at > REPORT_FRESH_S:
             return 1.0
         return min(MAX_REPORT_FACTOR, 1.0 + others / self.target.slots)
 
     def ramp(self) -> float:
         """Return the part of its share that the target may have, up to 1.0."""
-        now = self._clock.monotonic()
+        return self.ramp_at(self._clock.monotonic())
+
+    def ramp_at(self, now: float) -> float:
+        """Return `ramp` for a caller that has read the clock."""
         if self._ramp_from is None or now - self._used_at > UNUSED_S:
             return RAMP_MIN
         by_time = (now - self._ramp_from) / RAMP_S
@@ -233,9 +254,20 @@
             return 1.0
         return max(RAMP_MIN, min(by_time, self._answers / RAMP_ANSWERS))
 
-    def probe_is_due(self) -> bool:
-        """Return whether the next attempt would be the probe of an open breaker."""
-        return self._breaker is not Breaker.CLOSED and self._probe_is_due()
+    def chosen(self, reason: str) -> Choice:
+        """Return the choice of this target; kept, because it is made very often."""
+        choice = self._choices.get(reason)
+        if choice is None:
+            choice = self._choices[reason] = Choice(self.name, reason)
+        return choice
+
+    def is_open(self) -> bool:
+        """Return whether the breaker is open or half open."""
+        return self._breaker is not Breaker.CLOSED
+
+    def read_clock(self) -> float:
+        """Return the monotonic time of this target's clock."""
+        return self._clock.monotonic()
 
     def _open_is_over(self) -> bool:
         return self._clock.monotonic() >= self._open_until
@@ -274,7 +306,7 @@
                 self._open_s = OPEN_MIN_S
 
     def _shed(self, reason: Reason, latency_s: float) -> None:
-        self._sample(max(latency_s, SHED_LATENCY_S))
+        self._sample(max(latency_s, SHED_LATENCY_S, SHED_FACTOR * self._usual))
         if reason is Reason.DRAINING:
             self.draining = True
         elif reason is Reason.COLD:
@@ -317,17 +349,21 @@
     most half of a replica's choices, and only to one that costs at most twice as
     much, so that false reports can at most halve or double a share.
     """
-    live = [s for s in states if s.name not in exclude and s.available()]
+    live = [s for s in states if s.available() and s.name not in exclude]
     count = len(live)
-    if count == 0:
-        return None
-    if count == 1:
-        return Choice(live[0].name, "only replica available")
+    if count < 2:
+        return live[0].chosen("only replica available") if live else None
     index = int(rng.random() * count)
     other = int(rng.random() * (count - 1))
     if other >= index:
         other += 1
-    return _better(live[index], live[other], rng)
+    one, two = live[index], live[other]
+    # The costs of open breakers are out of date; only a probe can renew them.
+    if one.is_open():
+        return one.chosen("probe of an open breaker")
+    if two.is_open():
+        return two.chosen("probe of an open breaker")
+    return _better(one, two, rng)
 
 
 def choose_random(
@@ -339,23 +375,24 @@
     live = [s for s in states if s.name not in exclude and not s.draining]
     if not live:
         return None
-    return Choice(live[int(rng.random() * len(live))].name, "random")
+    return live[int(rng.random() * len(live))].chosen("random")
 
 
 def _better(one: TargetState, two: TargetState, rng: random.Random) -> Choice:
-    for state in (one, two):
-        if state.probe_is_due():
-            return Choice(state.name, "probe of an open breaker")
-    cost_one = one.cost()
-    cost_two = two.cost()
+    now = one.read_clock()
+    cost_one = one.cost_at(now)
+    cost_two = two.cost_at(now)
     if cost_two < cost_one:
         one, two = two, one
         cost_one, cost_two = cost_two, cost_one
-    ramp = one.ramp()
-    if ramp < 1.0 and rng.random() >= ramp and two.ramp() > ramp:
-        return Choice(two.name, "lower-cost replica is ramping up")
+    ramp = one.ramp_at(now)
+    # Relative to the other's ramp: after a restart of all replicas none yields.
+    if ramp < 1.0 and rng.random() * two.ramp_at(now) >= ramp:
+        return two.chosen("lower-cost replica is ramping up")
     if cost_two <= MAX_REPORT_FACTOR * cost_one:
-        ratio = two.report_factor() / one.report_factor()
-        if ratio < 1.0 and rng.random() >= ratio:
-            return Choice(two.name, "lower-cost replica reports more load")
-    return Choice(one.name, "lower cost of two")
+        load = one.report_factor_at(now)
+        if load > 1.0:
+            ratio = two.report_factor_at(now) / load
+            if rng.random() >= ratio:
+                return two.chosen("lower-cost replica reports more load")
+    return one.chosen("lower cost of two")
--- a/test/state/test_admission.py
+++ b/test/state/test_admission.py
@@ -125,6 +125,17 @@
     assert offer(queue, "urgent", "x", 9, deadline=5).verdict is Verdict.QUEUED
 
 
+def test_a_request_that_expired_in_the_queue_is_not_started():
+    clock = ManualClock()
+    queue = AdmissionQueue(1, 10, clock)
+    for name, deadline in (("a", 9), ("b", 1), ("c", 9)):
+        offer(queue, name, deadline=deadline)
+    clock.advance(2)
+    released = queue.finished(0.1)
+    assert [t.request_id for t in released.expired] == ["b"]
+    assert [t.request_id for t in released.start] == ["c"]
+
+
 def test_the_running_limit_follows_the_load():
     # Guards against an overloaded instance that runs ever more queries ever slower.
     # It runs 16 queries in 10 ms each; above that each takes longer.
