--- a/filbertshelf/bench/load.py
+++ b/filbertshelf/bench/load.py
@@ -87,7 +87,8 @@
     on_time: int
     """Answers within the request's own deadline."""
     goodput_per_s: float
-    """Answers on time per second of the load."""
+    """Answers on time per second, without those after the end of the load, so that
+    the queue that is left then does not raise the rate."""
     urgent_share: float
     """Share of answers on time, each request weighted by its urgency + 1."""
     worst_delay_ms: float
@@ -131,9 +132,11 @@
         self._session = session
         self._tally = _Tally()
         self._outstanding: set[asyncio.Task] = set()
+        self._ends_at = 0.0
 
     async def run(self) -> LoadResult:
         start = self._clock.monotonic()
+        self._ends_at = start + self._cfg.duration_s
         for arrival in arrivals(self._cfg):
             intended = start + arrival.at_s
             wait = intended - self._clock.monotonic()
@@ -160,8 +163,9 @@
             ending = _ENDINGS.get(doc.get("outcome", ""), Ending.FAILED)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             doc, ending = {}, Ending.FAILED
-        latency_s = self._clock.monotonic() - intended
-        self._tally.ended(arrival.kind, ending, latency_s, doc)
+        now = self._clock.monotonic()
+        during_load = now <= self._ends_at
+        self._tally.ended(arrival.kind, ending, now - intended, doc, during_load)
 
     async def _post(self, arrival: Arrival) -> Mapping[str, Any]:
         timeout = aiohttp.ClientTimeout(total=arrival.kind.deadline_ms / 1000 + GRACE_S)
@@ -188,6 +192,7 @@
         self._sub_requests = 0
         self._coverage = 0.0
         self._on_time = 0
+        self._on_time_during_load = 0
         self._weight = 0
         self._weight_on_time = 0
         self._worst_delay_s = 0.0
@@ -203,6 +208,7 @@
         ending: Ending,
         latency_s: float,
         doc: Mapping[str, Any],
+        during_load: bool = True,
     ) -> None:
         self._counts[ending] += 1
         if ending is Ending.NOT_RUN:
@@ -215,16 +221,16 @@
             self._sub_requests += doc["sub_requests"]
             self._planned += doc.get("coverage", {}).get("planned", 0)
         if ending in ANSWERS:
-            self._answered(kind, latency_s, doc.get("coverage", {}))
+            coverage = doc.get("coverage", {})
+            planned = coverage.get("planned", 0)
+            self._coverage += coverage.get("answered", 0) / planned if planned else 1.0
+            if latency_s * 1000 <= kind.deadline_ms:
+                self._answered_on_time(kind, during_load)
 
-    def _answered(
-        self, kind: RequestKind, latency_s: float, coverage: Mapping[str, Any]
-    ) -> None:
-        planned = coverage.get("planned", 0)
-        self._coverage += coverage.get("answered", 0) / planned if planned else 1.0
-        if latency_s * 1000 <= kind.deadline_ms:
-            self._on_time += 1
-            self._weight_on_time += kind.urgency + 1
+    def _answered_on_time(self, kind: RequestKind, during_load: bool) -> None:
+        self._on_time += 1
+        self._on_time_during_load += during_load
+        self._weight_on_time += kind.urgency + 1
 
     def result(self, duration_s: float) -> LoadResult:
         answers = sum(self._counts[ending] for ending in ANSWERS)
@@ -240,7 +246,7 @@
             planned=self._planned,
             sub_requests=self._sub_requests,
             on_time=self._on_time,
-            goodput_per_s=self._on_time / duration_s,
+            goodput_per_s=self._on_time_during_load / duration_s,
             urgent_share=_share(self._weight_on_time, self._weight),
             worst_delay_ms=self._worst_delay_s * 1000,
         )
--- a/filbertshelf/standins/profiles.py
+++ b/filbertshelf/standins/profiles.py
@@ -50,6 +50,9 @@
     urgency: int
     deadline_ms: int
     query: Mapping[str, Any]
+    variants: int = 25
+    """How many different queries there are of this kind; few popular queries repeat,
+    so that an instance sees both new and known fingerprints."""
 
     def body(self, number: int) -> dict[str, Any]:
         """Return the body of `POST /v1/query` of the request `number`."""
@@ -58,7 +61,7 @@
             "labels": dict(self.labels),
             "urgency": self.urgency,
             "deadline_ms": self.deadline_ms,
-            "query": dict(self.query),
+            "query": {**self.query, "job": f"{self.name}-{number % self.variants}"},
         }
 
 
--- a/filbertshelf/standins/target.py
+++ b/filbertshelf/standins/target.py
@@ -196,7 +196,11 @@
 
     def clear(self) -> None:
         """Reset the totals and the history; faults and versions stay."""
-        self.counters = Counters()
+        # Open connections and running work are peaks of the new period too.
+        self.counters = Counters(
+            peak_connections=len(self._connections.open),
+            peak_in_flight=self._work.running,
+        )
         self._executions = []
 
     async def set_faults(self, faults: Faults) -> None:
