Add the demonstration and the bench command; convict only on a second death

Cause: a request that was alone on a target whose machine died was refused for 60 s although it was innocent. Ruled out: telling a crash from a machine failure at the connection, which looks the same. Change: the first death makes a suspect that runs alone; only a second death while alone convicts. The bound of 2 targets stays (state machine test).

--- /dev/null
+++ b/filbertshelf/bench/demo.py
@@ -0,0 +1,222 @@
+"""The demonstration: both deployments as processes, with faults on the way."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import tempfile
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from filbertshelf.bench.fleet import Fleet, FleetConfig
+from filbertshelf.bench.processes import COMMAND, Processes
+from filbertshelf.bench.scenarios import NEW, OLD
+from filbertshelf.explain import describe, find_messages
+from filbertshelf.standins.profiles import PROFILES, Profile, RequestKind, scaled
+from filbertshelf.standins.target_config import Faults
+
+SCALE = 0.1
+QUERIES = 40  # In each step.
+IN_FORCE_LIMIT_S = 8.0  # From publication to every instance.
+REQUEST_TIMEOUT_S = 10.0
+EXPLAINED_LINES = 7
+
+
+@attrs.frozen
+class Check:
+    """One statement about what was seen and whether it holds."""
+
+    text: str
+    holds: bool
+
+
+class Demonstration:
+    """Runs one deployment and collects checks; `say` gets each line to show."""
+
+    def __init__(self, profile: Profile, say: Callable[[str], None]):
+        self.checks: list[Check] = []
+        self._profile = profile
+        self._say = say
+        self._http: aiohttp.ClientSession
+        self._fleet: Fleet
+        self._processes: Processes
+
+    async def run(self) -> None:
+        """Start the processes, play all steps, and end the processes."""
+        self._say(f"\n{self._profile.name}")
+        with (
+            tempfile.TemporaryDirectory(prefix="filbertshelf-demo-") as folder,
+            Processes(Path(folder), COMMAND) as self._processes,
+        ):
+            cfg = FleetConfig(profile=self._profile)
+            timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+            async with (
+                Fleet(cfg, self._processes) as self._fleet,
+                aiohttp.ClientSession(timeout=timeout) as self._http,
+            ):
+                await self._steps()
+
+    async def _steps(self) -> None:
+        entries = len(self._fleet.entries)
+        self._say(
+            f"  {entries} instances, {len(await self._fleet.histories())} targets"
+        )
+        await self._calm()
+        await self._booking()
+        await self._lost_replica()
+        await self._rolled_version()
+        await self._killed_instance()
+
+    def _check(self, text: str, holds: bool) -> None:
+        self.checks.append(Check(f"{self._profile.name}: {text}", holds))
+        self._say(f"  {'ok  ' if holds else 'FAIL'} {text}")
+
+    # Steps
+
+    async def _calm(self) -> None:
+        answers = await self._query_all()
+        self._check_answers("calm", answers, OLD.index_version)
+        self._explain(answers[0]["request_id"])
+
+    async def _booking(self) -> None:
+        first, second, *_ = self._fleet.entries
+        ticket = (await self._post(first, "/v1/tickets", {}))["ticket"]
+        kind = self._profile.requests[0]
+        body = {
+            "ticket": ticket,
+            "caller": kind.callers[0],
+            "labels": dict(kind.labels),
+            "booking": {"rack": "r-17", "day": "2026-12-05"},
+        }
+        sends = [self._post(name, "/v1/bookings", body) for name in (second, first)]
+        answers = [*await asyncio.gather(*sends)]
+        answers.append(await self._post(second, "/v1/bookings", body))
+        rows = {str(answer["rows"]) for answer in answers}
+        whole = all(answer["outcome"] == "whole" for answer in answers)
+        runs = await self._executions("book")
+        text = f"a booking sent 3 times over 2 instances ran {runs} time"
+        self._check(text, whole and len(rows) == 1 and runs == 1)
+
+    async def _lost_replica(self) -> None:
+        await self._fleet.set_faults(0, Faults(down=True))
+        answers = await self._query_all()
+        self._check_answers(
+            "one replica of each shard lost", answers, OLD.index_version
+        )
+        await self._fleet.set_faults(0, Faults())
+
+    async def _rolled_version(self) -> None:
+        await self._fleet.hold_versions(None, (OLD, NEW))
+        async with asyncio.TaskGroup() as group:
+            querying = group.create_task(self._query_all(pause=0.02))
+            publishing = group.create_task(self._publish())
+        seen = collections.Counter(_version(answer) for answer in querying.result())
+        mixed = sum(not _of_one_version(answer) for answer in querying.result())
+        text = f"index version rolled during queries: {dict(seen)}, {mixed} mixed"
+        self._check(text, not mixed and seen.keys() <= {"v1", "v2"})
+        seconds = publishing.result()
+        text = f"the new version was in force everywhere after {seconds:.2f} s"
+        self._check(text, seconds <= IN_FORCE_LIMIT_S)
+        await self._fleet.hold_versions(None, (NEW,))
+        self._check_answers("after the roll", await self._query_all(), "v2")
+
+    async def _publish(self) -> float:
+        """Publish the new version; return the seconds until it is in force."""
+        await asyncio.sleep(0.2)
+        start = time.monotonic()
+        await self._fleet.publish(NEW)
+        while time.monotonic() < start + 2 * IN_FORCE_LIMIT_S:
+            found = [
+                (await self._get(name, "/v1/status"))["configuration"]["revision"]
+                for name in self._fleet.entries
+            ]
+            if len(set(found)) == 1 and found[0] == 2:
+                break
+            await asyncio.sleep(0.02)
+        return time.monotonic() - start
+
+    async def _killed_instance(self) -> None:
+        victim = next(iter(self._fleet.entries))
+        self._processes.kill(victim)
+        answers = await self._query_all(without=victim)
+        self._check_answers(f"{victim} killed, callers ask the rest", answers, "v2")
+
+    # Requests
+
+    async def _query_all(self, pause: float = 0.0, without: str = "") -> list[Any]:
+        names = [name for name in self._fleet.entries if name != without]
+        kinds = self._profile.requests
+        tasks = []
+        for number in range(QUERIES):
+            kind = kinds[number % len(kinds)]
+            name = names[number % len(names)]
+            tasks.append(asyncio.create_task(self._query(name, kind, number)))
+            await asyncio.sleep(pause or 0.005)
+        return await asyncio.gather(*tasks)
+
+    async def _query(self, name: str, kind: RequestKind, number: int) -> Any:
+        # Every body differs, as distinct callers' do, so that none is cached as safe.
+        body = kind.body(number)
+        body["query"]["day"] = number
+        return await self._post(name, "/v1/query", body)
+
+    async def _post(self, name: str, path: str, body: Mapping[str, Any]) -> Any:
+        url = f"http://{self._fleet.entries[name]}{path}"
+        async with self._http.post(url, json=body) as resp:
+            return await resp.json()
+
+    async def _get(self, name: str, path: str) -> Any:
+        async with self._http.get(f"http://{self._fleet.entries[name]}{path}") as resp:
+            return await resp.json()
+
+    async def _executions(self, verb: str) -> int:
+        return sum(
+            execution["verb"] == verb
+            for history in await self._fleet.histories()
+            for execution in history["executions"]
+        )
+
+    # Reports
+
+    def _check_answers(self, step: str, answers: list[Any], version: str) -> None:
+        outcomes = collections.Counter(answer["outcome"] for answer in answers)
+        single = all(_of_one_version(answer) for answer in answers)
+        expected = all(_version(answer) == version for answer in answers)
+        whole = outcomes["whole"] == len(answers)
+        text = f"{step}: {dict(outcomes)} of {len(answers)}, version {version}"
+        self._check(text, whole and single and expected)
+
+    def _explain(self, request_id: str) -> None:
+        time.sleep(0.2)  # Log lines are written every 0.1 s.
+        logs = sorted(self._processes.folder.glob("entry-*.log"))
+        found = find_messages(request_id, logs)
+        self._say(f"       why request {request_id[:8]} went where it did:")
+        for message in found[:EXPLAINED_LINES]:
+            self._say(f"       {describe(message)[:110]}")
+        if len(found) > EXPLAINED_LINES:
+            self._say(f"       and {len(found) - EXPLAINED_LINES} more decisions")
+
+
+def _version(answer: Mapping[str, Any]) -> str:
+    versions = {item["index_version"] for item in answer.get("snapshot", {}).values()}
+    return versions.pop() if len(versions) == 1 else "none"
+
+
+def _of_one_version(answer: Mapping[str, Any]) -> bool:
+    """Return whether all rows are of the version that the answer names."""
+    return {row["version"] for row in answer.get("rows", ())} <= {_version(answer)}
+
+
+async def demonstrate(say: Callable[[str], None]) -> list[Check]:
+    """Run both deployments one after the other and return all checks."""
+    checks: list[Check] = []
+    for profile in PROFILES.values():
+        demonstration = Demonstration(scaled(profile, SCALE), say)
+        await demonstration.run()
+        checks += demonstration.checks
+    return checks
--- a/filbertshelf/commands/explain.py
+++ b/filbertshelf/commands/explain.py
@@ -3,18 +3,10 @@
 from __future__ import annotations
 
 import argparse
-import json
-from collections.abc import Iterable, Iterator
-from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
 
 from filbertshelf.errors import UserError
-from filbertshelf.events import CATALOGUE
-
-_HIDDEN = frozenset(
-    {"event", "level", "timestamp", "task_uuid", "task_level", "message_type"}
-)
+from filbertshelf.explain import describe, find_messages
 
 
 def add(subparsers: argparse._SubParsersAction) -> None:
@@ -29,9 +21,7 @@
 
 def run(args: argparse.Namespace) -> int:
     """Print the decisions about a request in order of time."""
-    found = sorted(
-        find_messages(args.request_id, args.logs), key=lambda m: m["timestamp"]
-    )
+    found = find_messages(args.request_id, args.logs)
     if not found:
         raise UserError(
             f"no log line names request {args.request_id!r}",
@@ -40,42 +30,3 @@
     for message in found:
         print(describe(message))
     return 0
-
-
-def find_messages(request_id: str, paths: Iterable[Path]) -> Iterator[dict[str, Any]]:
-    """Yield the messages in the files that belong to the request.
-
-    A request that was planned twice or forwarded has ids with a suffix.
-    """
-    for path in paths:
-        try:
-            with path.open(encoding="utf-8", errors="replace") as lines:
-                yield from _matching(request_id, lines)
-        except OSError as exc:
-            raise UserError(str(exc), "name a readable log file") from exc
-
-
-def _matching(request_id: str, lines: Iterable[str]) -> Iterator[dict[str, Any]]:
-    for line in lines:
-        if request_id not in line:
-            continue
-        try:
-            message = json.loads(line)
-        except ValueError:
-            continue  # The last line may be cut when the process was killed.
-        found = str(message.get("request_id", ""))
-        if found == request_id or found.startswith(f"{request_id}."):
-            yield message
-
-
-def describe(message: dict[str, Any]) -> str:
-    """Return one line for a person."""
-    event = CATALOGUE.get(message.get("event", 0))
-    when = datetime.fromtimestamp(message["timestamp"], UTC).strftime("%H:%M:%S.%f")
-    name = event.name if event else message.get("message_type", "")
-    fields = " ".join(
-        f"{key}={value}"
-        for key, value in message.items()
-        if key not in _HIDDEN and key != "request_id"
-    )
-    return f"{when[:-3]} {message.get('event', '')} {name}: {fields}"
--- a/filbertshelf/commands/main.py
+++ b/filbertshelf/commands/main.py
@@ -9,7 +9,9 @@
 
 from filbertshelf import __version__
 from filbertshelf.commands import (
+    bench,
     check,
+    demo,
     explain,
     instance,
     match,
@@ -17,7 +19,7 @@
 )
 from filbertshelf.errors import FilbertshelfError
 
-MODULES = (instance, check, match, explain, standins)
+MODULES = (instance, check, match, explain, demo, bench, standins)
 
 
 def make_parser() -> argparse_flags.ArgumentParser:
--- a/filbertshelf/standins/profiles.py
+++ b/filbertshelf/standins/profiles.py
@@ -384,7 +384,7 @@
 
 QUITANIEVES = Profile(
     name="quitanieves",
-    data_centres=("scl-1", "scl-2", "scl-3"),
+    data_centres=("bog-1", "bog-2", "bog-3"),
     one_way_ms=0.5,
     client_one_way_ms=1.0,
     instances=20,
--- a/filbertshelf/state/quarantine.py
+++ b/filbertshelf/state/quarantine.py
@@ -58,14 +58,14 @@
     one `finished`; when a target dies, `target_died` comes before the `finished` of
     the attempts that were lost.
 
-    Promise: a fingerprint is convicted only if it alone was in flight from this
-    instance on a target that died. A request that crashes each target that runs it,
-    and so never answers, kills at most 2 targets through this instance before it is
+    Promise: a fingerprint is convicted only if it was in flight on two targets that
+    died, alone on the second. A request that crashes each target that runs it, and
+    so never answers, kills at most 2 targets through this instance before it is
     convicted, and 1 in each `CONVICTION_S` after that while it is remembered.
 
-    What remains: a request that happens to be alone on a target that dies for
-    another reason is refused for `CONVICTION_S`; the other reason may be a request
-    of another instance. A request that crashes only some targets can answer first
+    What remains: a request that is in flight on two targets that die for another
+    reason, without an answer in between, is refused for `CONVICTION_S`; the other
+    reason may be a request of another instance. A request that crashes only some targets can answer first
     and is then sent to all shards at once. A suspect waits while a target is never
     free of other work of this instance.
     """
@@ -151,7 +151,9 @@
             self._clear(fp)
 
     def target_died(self, target: str) -> list[Conviction]:
-        """Convict the request that was alone on the target, or suspect all of them.
+        """Suspect all requests on the target; convict a suspect that was alone there.
+
+        One death proves little, since targets also die by themselves.
 
         Calls for the other connections of the same target have no further effect.
         """
@@ -162,9 +164,10 @@
         for fp, count in running.items():
             lost[fp] = lost.get(fp, 0) + count
         self._guarded.pop(target, None)
+        suspected = {fp for fp in running if self._is_active(self._suspects, fp)}
         for fp in running:
             self._suspect(fp)
-        if len(running) > 1:
+        if len(running) > 1 or not suspected:
             return []
         (fp,) = running
         self.convict(fp, CONVICTION_S)
