--- a/filbertshelf/state/tickets.py
+++ b/filbertshelf/state/tickets.py
@@ -23,8 +23,7 @@
     TicketVersionError,
 )
 from filbertshelf.settings import Settings
-
-Address = tuple[str, int]
+from filbertshelf.state.members import Address, Identity
 
 VERSION = "v1"
 # A ticket is about 200 characters; the limit bounds the work on a forged one.
@@ -39,8 +38,8 @@
 class Owner:
     """The process that minted a ticket.
 
-    `incarnation` is the process's start time in ms; unlike the incarnation of the
-    member table it is never raised. `nonce` is drawn at random when the table is
+    `incarnation` is that of the process's `Identity`; unlike the one in its member
+    row it is never raised. `nonce` is drawn at random when the table is
     made, so that a process whose start time repeats after a step of the wall clock
     is not taken for its predecessor. `address` accepts connections of peers.
     """
@@ -232,9 +231,8 @@
         self,
         cfg: Settings,
         clock: Clock,
-        owner_id: str,
+        identity: Identity,
         address: Address,
-        incarnation: int,
         limits: TableLimits | None = None,
         nonce: str = "",
     ):
@@ -243,7 +241,7 @@
         self._clock = clock
         self._start = clock.monotonic()
         nonce = nonce or _fresh_id()
-        self.owner = Owner(owner_id, address, incarnation, nonce)
+        self.owner = Owner(identity.id, address, identity.incarnation, nonce)
         self._serial = 0
         self._closed = False
         self._records: dict[str, Record] = {}
