Convict a query only if it ran as a suspect on a target that died

Ruled out: the retry budget (no shard was missing for it). Change: only a target that ran the query alone as a suspect convicts it. The bound of 2 targets for each query and instance stays, by the state machine test.

--- a/filbertshelf/state/quarantine.py
+++ b/filbertshelf/state/quarantine.py
@@ -58,16 +58,17 @@
     one `finished`; when a target dies, `target_died` comes before the `finished` of
     the attempts that were lost.
 
-    Promise: a fingerprint is convicted only if it was in flight on two targets that
-    died, alone on the second. A request that crashes each target that runs it, and
-    so never answers, kills at most 2 targets through this instance before it is
-    convicted, and 1 in each `CONVICTION_S` after that while it is remembered.
-
-    What remains: a request that is in flight on two targets that die for another
-    reason, without an answer in between, is refused for `CONVICTION_S`; the other
-    reason may be a request of another instance. A request that crashes only some
-    targets can answer first and is then sent to all shards at once. A suspect waits
-    while a target is never free of other work of this instance.
+    Promise: a fingerprint is convicted only if a target died that ran it, and then
+    another one that ran it alone as a suspect. A request that crashes each target
+    that runs it, and so never answers, kills at most 2 targets through this instance
+    before it is convicted, and 1 in each `CONVICTION_S` after that while it is
+    remembered.
+
+    What remains: a request whose second target also dies for another reason is
+    refused for `CONVICTION_S`; the other reason may be a request of another
+    instance. A request that crashes only some targets can answer first and is then
+    sent to all shards at once. A suspect waits while a target is never free of other
+    work of this instance.
     """
 
     __slots__ = (
@@ -151,9 +152,11 @@
             self._clear(fp)
 
     def target_died(self, target: str) -> list[Conviction]:
-        """Suspect all requests on the target; convict a suspect that was alone there.
+        """Suspect all requests on the target; convict one that ran there guarded.
 
-        One death proves little, since targets also die by themselves.
+        One death proves little, since targets also die by themselves. Several that
+        die together, as in a rack failure, are one death for the requests that were
+        already in flight on them.
 
         Calls for the other connections of the same target have no further effect.
         """
@@ -163,13 +166,11 @@
         lost = self._lost.setdefault(target, {})
         for fp, count in running.items():
             lost[fp] = lost.get(fp, 0) + count
-        self._guarded.pop(target, None)
-        suspected = {fp for fp in running if self._is_active(self._suspects, fp)}
         for fp in running:
             self._suspect(fp)
-        if len(running) > 1 or not suspected:
+        fp = self._guarded.pop(target, None)
+        if fp is None:
             return []
-        (fp,) = running
         self.convict(fp, CONVICTION_S)
         reason = Verdict.CONVICTED.value
         return [Conviction(fp, target, CONVICTION_S, reason)]
