--- a/test/coordination/fleet.py
+++ b/test/coordination/fleet.py
@@ -83,7 +83,7 @@
         """Return when the process is not paused; never if it is gone."""
         await self.awake.wait()
         if self.gone:
-            await asyncio.get_running_loop().create_future()
+            await self.fleet.hang()
 
     # The pause detector.
 
@@ -198,8 +198,14 @@
         self.table = table
         self.runner = runner
         self.callers: set[asyncio.Task] = set()
+        self.hanging: list[asyncio.Future] = []
         self.instances = [Instance(self, number, 1) for number in range(size)]
 
+    def hang(self) -> asyncio.Future:
+        """Return a future that never ends; it is kept, or its waiters would vanish."""
+        self.hanging.append(asyncio.get_running_loop().create_future())
+        return self.hanging[-1]
+
     def replace(self, number: int, incarnation: int = 2) -> None:
         """End the process without notice and start another at its address."""
         self.instances[number].gone = True
@@ -223,12 +229,12 @@
         handle = receiver.handlers[type(msg)]
         handler = asyncio.ensure_future(handle(sender, _sent(msg)))
         if self.rng.random() < self.lost:
-            await asyncio.get_running_loop().create_future()
+            await self.hang()
         reply = _sent(await handler)
         await receiver.runs()
         await self.clock.sleep(self.rng.uniform(0.0, self.delay))
         if receiver.gone or self._cut(sender, receiver):
-            await asyncio.get_running_loop().create_future()
+            await self.hang()
         return reply
 
     def _cut(self, one, other) -> bool:
