--- a/test/coordination/memory_fleet.py
+++ b/test/coordination/memory_fleet.py
@@ -83,7 +83,7 @@
         """Return when the process is not paused; never if it is gone."""
         await self.awake.wait()
         if self.gone:
-            await asyncio.get_running_loop().create_future()
+            await self.fleet.hang()
 
     # The pause detector.
 
@@ -99,7 +99,8 @@
             Member(i.id, "bne-1", i.address, 1, i.status) for i in self.fleet.instances
         ]
 
-    def choose(self, request):
+    @staticmethod
+    def choose(request):
         """Choose the shard that the request names."""
         return ShardChoice(request.service, request.shard, "v1", 1, 1)
 
@@ -116,6 +117,8 @@
         timer = asyncio.ensure_future(self.sleep(timeout))
         await asyncio.wait({call, timer}, return_when=asyncio.FIRST_COMPLETED)
         timer.cancel()
+        # The receiver still gets the message; only the reply has no reader.
+        call.add_done_callback(lambda done: done.cancelled() or done.exception())
         await self.runs()
         if not call.done() or self.monotonic() >= started + timeout:
             raise PeerTimeoutError(f"{address} gave no reply in time")
@@ -195,8 +198,14 @@
         self.table = table
         self.runner = runner
         self.callers: set[asyncio.Task] = set()
+        self.hanging: list[asyncio.Future] = []
         self.instances = [Instance(self, number, 1) for number in range(size)]
 
+    def hang(self) -> asyncio.Future:
+        """Return a future that never ends; it is kept, or its waiters would vanish."""
+        self.hanging.append(asyncio.get_running_loop().create_future())
+        return self.hanging[-1]
+
     def replace(self, number: int, incarnation: int = 2) -> None:
         """End the process without notice and start another at its address."""
         self.instances[number].gone = True
@@ -220,12 +229,12 @@
         handle = receiver.handlers[type(msg)]
         handler = asyncio.ensure_future(handle(sender, _sent(msg)))
         if self.rng.random() < self.lost:
-            await asyncio.get_running_loop().create_future()
+            await self.hang()
         reply = _sent(await handler)
         await receiver.runs()
         await self.clock.sleep(self.rng.uniform(0.0, self.delay))
         if receiver.gone or self._cut(sender, receiver):
-            await asyncio.get_running_loop().create_future()
+            await self.hang()
         return reply
 
     def _cut(self, one, other) -> bool:
