--- a/filbertshelf/transport/entry.py
+++ b/filbertshelf/transport/entry.py
@@ -63,7 +63,7 @@
         self._metrics = metrics
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
-        self._stopping = False
+        self.stopping = False
         self.in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -94,7 +94,7 @@
         Kept connections stay open meanwhile: each gets a refusal or its answer with
         `Connection: close`. `timeout` is in seconds.
         """
-        self._stopping = True
+        self.stopping = True
         if self._site is not None:
             await self._site.stop()
         with contextlib.suppress(TimeoutError):
@@ -153,14 +153,14 @@
         return self._reply({"alive": True}, 200)
 
     async def _ready(self, _req: web.Request) -> web.Response:
-        ready = self._handler.ready() and not self._stopping
+        ready = self._handler.ready() and not self.stopping
         return self._reply({"ready": ready}, 200 if ready else 503)
 
     async def _status(self, _req: web.Request) -> web.Response:
         return self._reply(self._handler.status(), 200)
 
     def _refuse_when_stopping(self) -> None:
-        if self._stopping:
+        if self.stopping:
             raise StoppingError(
                 "this instance is shutting down", "send the request to another instance"
             )
@@ -180,7 +180,7 @@
 
     def _reply(self, doc: dict, status: int) -> web.Response:
         resp = web.json_response(doc, status=status)
-        if self._stopping:
+        if self.stopping:
             resp.force_close()
         return resp
 
--- /dev/null
+++ b/test/promises/test_leaving.py
@@ -0,0 +1,117 @@
+"""Leaving targets get no new work; leaving instances cut nothing off."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+
+from filbertshelf.standins.target_config import Faults
+
+FEW_SECONDS = 3.0
+
+
+async def started_after(fleet, name, moment):
+    return [e for e in fleet.targets[name].history().executions if e.start > moment]
+
+
+async def query_for(fleet, seconds, count=40):
+    answers = []
+    for number in range(count):
+        _status, answer = await fleet.query(f"i{number % 2}", query={"job": number})
+        answers.append(answer)
+        await asyncio.sleep(seconds / count)
+    return answers
+
+
+async def test_a_listed_leaving_target_gets_no_new_work(fleet):
+    await fleet.start()
+    fleet.leave_target("t0")
+    await fleet.until(
+        lambda: all(
+            i.targets.states()["t0"].draining for i in fleet.instances.values()
+        ),
+        FEW_SECONDS,
+    )
+    fleet.targets["t0"].clear()
+    answers = await query_for(fleet, 0.5)
+    assert all(answer["outcome"] == "whole" for answer in answers)
+    assert fleet.targets["t0"].history().executions == ()
+
+
+async def test_a_target_that_only_says_so_itself_gets_no_new_work(fleet):
+    # Guards against waiting for the list, which lags; no query tells the instances.
+    await fleet.start()
+    await fleet.targets["t0"].set_faults(Faults(draining=True))
+    await fleet.until(
+        lambda: all(
+            i.targets.states()["t0"].draining for i in fleet.instances.values()
+        ),
+        FEW_SECONDS,
+    )
+    fleet.targets["t0"].clear()
+    answers = await query_for(fleet, 0.5)
+    assert all(answer["outcome"] == "whole" for answer in answers)
+    assert fleet.targets["t0"].history().counters.requests == 0
+
+
+async def test_a_refusal_of_one_instance_reaches_the_other_by_a_notice(fleet):
+    await fleet.start()
+    first, second = fleet.instances.values()
+    first.targets.on_draining("t0")
+    await fleet.until(lambda: second.targets.states()["t0"].draining, 1.0)
+
+
+async def test_a_restarted_target_serves_again(fleet):
+    # Guards against a drain that outlives the process that drained.
+    await fleet.start()
+    await fleet.targets["t0"].set_faults(Faults(draining=True))
+    instances = fleet.instances.values()
+    await fleet.until(lambda: all(i.targets.states()["t0"].draining for i in instances))
+    await fleet.targets["t0"].set_faults(Faults())
+    await fleet.until(
+        lambda: not any(i.targets.states()["t0"].draining for i in instances)
+    )
+
+
+async def test_a_stopping_instance_finishes_what_is_in_flight(fleet):
+    # Guards against cut answers on kept connections and against late refusals.
+    await fleet.start(target_options={"service_ms": 300.0, "sigma": 0.0})
+    await fleet.query("i0")
+    queries = [
+        asyncio.create_task(fleet.query("i0", deadline_ms=5000)) for _ in range(8)
+    ]
+    ticket = await fleet.ticket("i0")
+    booking = asyncio.create_task(fleet.book("i0", ticket))
+    await asyncio.sleep(0.1)
+    stopping = asyncio.create_task(fleet.instances["i0"].stop())
+    for status, answer in await asyncio.gather(*queries):
+        assert (status, answer["outcome"]) == (200, "whole")
+    _status, booked = await booking
+    assert booked["outcome"] == "whole"
+    await stopping
+    # The peer that holds the final table repeats the outcome.
+    _status, again = await fleet.book("i1", ticket)
+    assert again["rows"] == booked["rows"]
+    assert len(fleet.executions("book")) == 1
+
+
+async def test_a_kept_connection_to_a_stopping_instance_gets_a_true_refusal(fleet):
+    await fleet.start(target_options={"service_ms": 500.0, "sigma": 0.0})
+    host, port = fleet.instances["i0"].entry.address
+    url = f"http://{host}:{port}/v1/query"
+    doc = {"caller": "desk", "query": {}, "deadline_ms": 5000}
+    async with aiohttp.ClientSession() as http:
+        async with http.get(f"http://{host}:{port}/v1/ready") as resp:
+            assert resp.status == 200
+        slow = asyncio.create_task(fleet.query("i0", deadline_ms=5000))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(fleet.instances["i0"].stop())
+        await fleet.until(lambda: fleet.instances["i0"].entry.stopping)
+        async with http.post(url, json=doc) as resp:
+            refusal = await resp.json()
+            assert resp.status == 503
+            assert resp.headers["Connection"] == "close"
+    assert (refusal["outcome"], refusal["code"]) == ("not_run", "stopping")
+    assert (await slow)[1]["outcome"] == "whole"
+    await stopping
--- /dev/null
+++ b/test/promises/test_snapshot.py
@@ -0,0 +1,124 @@
+"""One snapshot per answer, and coverage that is true."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+import pytest
+
+from filbertshelf.standins.target_config import Faults, HostedService, Snapshot
+from test.fleet import SHARDS
+
+QUERIES = 60
+
+
+def hold(target, *versions):
+    snapshots = tuple(Snapshot(*version, SHARDS) for version in versions)
+    target.set_versions(HostedService("racks", snapshots))
+
+
+def check_answer(answer):
+    """Check that rows, coverage and outcome of an answer tell the same."""
+    version = answer["snapshot"]["racks"]["index_version"]
+    assert {row["version"] for row in answer["rows"]} <= {version}
+    states = collections.defaultdict(set)
+    for row in answer["rows"]:
+        states[row["id"]].add(row["state"])
+    assert all(len(seen) == 1 for seen in states.values()), "both booked and free"
+    coverage = answer["coverage"]
+    missing = {item["shard"] for item in coverage["missing"]}
+    assert coverage["planned"] == len(SHARDS)
+    assert coverage["answered"] == len(SHARDS) - len(missing)
+    assert all(item["reason"] != "none" for item in coverage["missing"])
+    assert (answer["outcome"] == "whole") == (not missing)
+
+
+async def query_steadily(fleet, count=QUERIES, pause=0.01):
+    tasks = []
+    for number in range(count):
+        query = {"order_by": "id", "job": number}
+        tasks.append(asyncio.create_task(fleet.query(f"i{number % 2}", query=query)))
+        await asyncio.sleep(pause)
+    return [answer for _status, answer in await asyncio.gather(*tasks)]
+
+
+async def test_no_answer_mixes_versions_while_the_index_rolls(fleet):
+    # Guards against merging rows of a replica that already serves the next version.
+    await fleet.start()
+    querying = asyncio.create_task(query_steadily(fleet))
+    for target in fleet.targets.values():
+        hold(target, ("v1", 1), ("v2", 2))
+        await asyncio.sleep(0.05)
+    fleet.publish(version="v2", generation=2)
+    await asyncio.sleep(0.15)
+    for target in fleet.targets.values():
+        hold(target, ("v2", 2))
+    answers = await querying
+    for answer in answers:
+        check_answer(answer)
+    versions = collections.Counter(
+        a["snapshot"]["racks"]["index_version"] for a in answers
+    )
+    assert set(versions) == {"v1", "v2"}
+    assert all(answer["outcome"] == "whole" for answer in answers)
+
+
+async def test_a_query_is_planned_again_when_the_last_holder_drops_its_version(fleet):
+    # Guards against a partial answer that a second plan within the deadline avoids.
+    await fleet.start()
+    for target in fleet.targets.values():
+        hold(target, ("v2", 2))
+    query = asyncio.create_task(fleet.query(deadline_ms=4000))
+    await asyncio.sleep(0.1)
+    fleet.publish(version="v2", generation=2)
+    _status, answer = await query
+    assert answer["outcome"] == "whole"
+    assert answer["snapshot"]["racks"] == {"index_version": "v2", "generation": 2}
+    check_answer(answer)
+
+
+async def test_without_a_holder_the_answer_is_not_run_and_names_each_shard(fleet):
+    await fleet.start()
+    for target in fleet.targets.values():
+        hold(target, ("v9", 9))
+    status, answer = await fleet.query(deadline_ms=600)
+    assert (status, answer["outcome"]) == (503, "not_run")
+    reasons = {item["reason"] for item in answer["coverage"]["missing"]}
+    assert reasons == {"other_snapshot"}
+    assert fleet.executions() == []
+
+
+@pytest.mark.parametrize("goal", ["coverage", "tail"])
+async def test_a_shard_without_replicas_makes_the_answer_partial(fleet, goal):
+    # Guards against leaving a lost shard out of the denominator.
+    await fleet.start(targets=2, policy={"goal": goal, "partial_after_ms": 100})
+    doc = fleet.publication()
+    doc["services"]["racks"]["shards"]["s2"] = ["t1"]
+    doc["policies"]["all"].update(goal=goal, partial_after_ms=100)
+    fleet.platform.publish(doc)
+    await fleet.until(
+        lambda: all(
+            i.configuration.version.revision == 2 for i in fleet.instances.values()
+        )
+    )
+    await fleet.targets["t1"].set_faults(Faults(down=True))
+    status, answer = await fleet.query(deadline_ms=1000)
+    assert (status, answer["outcome"]) == (200, "partial")
+    assert [item["shard"] for item in answer["coverage"]["missing"]] == ["s2"]
+    check_answer(answer)
+
+
+async def test_an_empty_shard_is_not_a_missing_one(fleet):
+    await fleet.start(target_options={"rows_per_shard": 0})
+    _status, answer = await fleet.query()
+    assert (answer["outcome"], answer["rows"]) == ("whole", [])
+
+
+async def test_hedges_that_both_answer_count_once(fleet):
+    # Guards against the rows of one shard that stand twice in an answer.
+    await fleet.start(target_options={"sigma": 1.5, "service_ms": 4.0})
+    for answer in await query_steadily(fleet, 150, 0.002):
+        check_answer(answer)
+        ids = [row["id"] for row in answer["rows"]]
+        assert len(ids) == len(set(ids))
