--- a/filbertshelf/settings.py
+++ b/filbertshelf/settings.py
@@ -66,10 +66,20 @@
 
 
 def _setting(
-    section: str, read: Callable[[str], Any], remedy: str, default: str | None
+    section: str,
+    meaning: str,
+    read: Callable[[str], Any],
+    remedy: str,
+    default: str | None,
 ) -> Any:
-    """Return a field with its INI section, converter, remedy and default text."""
-    metadata = {"section": section, "read": read, "remedy": remedy, "text": default}
+    """Return a field with its INI section, meaning, converter, remedy and default."""
+    metadata = {
+        "section": section,
+        "meaning": meaning,
+        "read": read,
+        "remedy": remedy,
+        "text": default,
+    }
     if default is None:
         return attrs.field(metadata=metadata)
     return attrs.field(metadata=metadata, default=read(default))
@@ -87,35 +97,105 @@
     Raises nothing by itself; `load_settings` checks the text it reads.
     """
 
-    name: str = _setting("instance", _name, "write a unique name", None)
-    data_centre: str = _setting("instance", _name, "write the data centre", None)
-    listen: tuple[str, int] = _setting("instance", _address, _ADDRESS, "127.0.0.1:0")
-    peer_listen: tuple[str, int] = _setting("peers", _address, _ADDRESS, "127.0.0.1:0")
+    name: str = _setting(
+        "instance",
+        "name of the instance, unique in the fleet",
+        _name,
+        "write a unique name",
+        None,
+    )
+    data_centre: str = _setting(
+        "instance",
+        "data centre that the instance runs in",
+        _name,
+        "write the data centre",
+        None,
+    )
+    listen: tuple[str, int] = _setting(
+        "instance", "address for callers", _address, _ADDRESS, "127.0.0.1:0"
+    )
+    peer_listen: tuple[str, int] = _setting(
+        "peers", "address for other instances", _address, _ADDRESS, "127.0.0.1:0"
+    )
     fleet_key: str = _setting(
-        "peers", _key, f"write a secret of at least {MIN_KEY_CHARS} characters", None
+        "peers",
+        "secret that all instances share; signs tickets and connections",
+        _key,
+        f"write a secret of at least {MIN_KEY_CHARS} characters",
+        None,
     )
     peers: tuple[tuple[str, int], ...] = _setting(
-        "peers", _peers, "write IP:PORT, IP:PORT, ...", ""
-    )
-    probe_period: float = _setting("peers", _positive, _SECONDS, "1.0")
-    probe_timeout: float = _setting("peers", _positive, _SECONDS, "0.3")
-    platform: tuple[str, int] = _setting("platform", _address, _ADDRESS, None)
-    watch_wait: float = _setting("platform", _positive, _SECONDS, "10.0")
-    start_grace: float = _setting("platform", _positive, _SECONDS, "5.0")
-    pause_threshold: float = _setting("limits", _positive, _SECONDS, "2.0")
-    drain_timeout: float = _setting("limits", _positive, _SECONDS, "30.0")
-    max_queries: int = _setting("limits", _count, _WHOLE, "256")
-    max_queued: int = _setting("limits", _count, _WHOLE, "1024")
-    ticket_lifetime: float = _setting("limits", _positive, _SECONDS, "600.0")
+        "peers",
+        "other instances to ask when the platform can't be read at the start",
+        _peers,
+        "write IP:PORT, IP:PORT, ...",
+        "",
+    )
+    probe_period: float = _setting(
+        "peers", "time between two membership probes", _positive, _SECONDS, "1.0"
+    )
+    probe_timeout: float = _setting(
+        "peers", "wait for the answer to a direct probe", _positive, _SECONDS, "0.3"
+    )
+    platform: tuple[str, int] = _setting(
+        "platform", "address of the platform", _address, _ADDRESS, None
+    )
+    watch_wait: float = _setting(
+        "platform", "longest wait of one watch call", _positive, _SECONDS, "10.0"
+    )
+    start_grace: float = _setting(
+        "platform",
+        "wait for a ready peer before the platform alone is trusted",
+        _positive,
+        _SECONDS,
+        "5.0",
+    )
+    pause_threshold: float = _setting(
+        "limits",
+        "time without running after which beliefs count as old",
+        _positive,
+        _SECONDS,
+        "2.0",
+    )
+    drain_timeout: float = _setting(
+        "limits",
+        "longest wait for requests in flight at a stop",
+        _positive,
+        _SECONDS,
+        "30.0",
+    )
+    max_queries: int = _setting(
+        "limits", "queries that run at once", _count, _WHOLE, "256"
+    )
+    max_queued: int = _setting(
+        "limits", "queries that wait for admission", _count, _WHOLE, "1024"
+    )
+    ticket_lifetime: float = _setting(
+        "limits", "time in which a ticket can be used", _positive, _SECONDS, "600.0"
+    )
     statsd: tuple[str, int] | None = _setting(
-        "metrics", _optional_address, "write IP:PORT or leave it empty", ""
+        "metrics",
+        "where metrics go; empty sends none",
+        _optional_address,
+        "write IP:PORT or leave it empty",
+        "",
     )
     strategy: str = _setting(
-        "limits", _strategy, f"write one of {', '.join(STRATEGIES)}", "adaptive"
+        "limits",
+        "decisions under load; baseline is for comparison only",
+        _strategy,
+        f"write one of {', '.join(STRATEGIES)}",
+        "adaptive",
+    )
+    log_file: str = _setting(
+        "logs", "where log lines go", str, "write a path; empty means stderr", ""
     )
-    log_file: str = _setting("logs", str, "write a path; empty means stderr", "")
     ready_file: str = _setting(
-        "instance", str, "write a path for the bound addresses, or leave it empty", ""
+        "instance",
+        "JSON file that gets the bound addresses after the start",
+        str,
+        "write a path for the bound addresses, or leave it empty",
+        "",
     )
 
 
