--- a/filbertshelf/transport/peers.py
+++ b/filbertshelf/transport/peers.py
@@ -543,6 +543,8 @@
 
     async def on_stop(self) -> None:
         """Accept no more, let running handlers finish, then close everything."""
+        if self._server is None:
+            return
         self._server.close(close_connections=False)
         if self._running:
             await asyncio.wait(self._running, timeout=self.cfg.drain_timeout)
--- a/test/transport/test_peers.py
+++ b/test/transport/test_peers.py
@@ -220,6 +220,8 @@
             await client.request(address, Echo(1), 0.1)
     with pytest.raises(PeerTimeoutError):
         await client.request(server.address, Echo(1), 0.1)
+    # Guards against a link that counts as busy for ever after a time-out.
+    assert not client._links[server.address].pending
     waiting = asyncio.ensure_future(client.request(server.address, Echo(1), 60.0))
     await until(lambda: len(server._running) == 2)
     for ws in server._server.connections:
@@ -228,6 +230,25 @@
         await waiting
 
 
+async def test_a_request_that_gives_up_leaves_the_connect_to_others(
+    start_peers, monkeypatch
+):
+    client, server = await start_peers("a"), await start_peers("b")
+    server.register(Echo, echo)
+    introduce = client._introduce
+
+    async def slow(ws, address):
+        await asyncio.sleep(0.2)
+        await introduce(ws, address)
+
+    monkeypatch.setattr(client, "_introduce", slow)
+    requests = [client.request(server.address, Echo(1), wait) for wait in (0.05, 5.0)]
+    hasty, patient = await asyncio.gather(*requests, return_exceptions=True)
+    assert isinstance(hasty, PeerUnreachableError)
+    assert patient == Echo(1)
+    assert client.counts.dialled == 1
+
+
 async def test_a_request_is_never_written_twice(start_peers):
     # The connection is lost after the write; a second try would run it twice.
     client, server = await start_peers("a"), await start_peers("b")
