Hedge earlier, and only to replicas that are likely to be faster

The delay followed the slow replica's latencies, services with few answers had no delay, and nothing was learnt from an attempt before it ended. Ruled out: the retry budget, and the breaker, which rightly stays closed. Change: delay is min(p95, 3 medians), with all services' latencies where a service has few; an attempt that runs at the hedge time counts as a sample; no hedge to a replica that usually takes over twice the wait; the idle time constant of 15 s instead of 5 s; the canary is the fastest of 8 shards and waits at most 3 hedge delays.

--- a/filbertshelf/coordination/queries.py
+++ b/filbertshelf/coordination/queries.py
@@ -10,14 +10,14 @@
 from filbertshelf import events
 from filbertshelf.clock import Clock
 from filbertshelf.coordination.admission import Admission
+from filbertshelf.coordination.budgets import Budgets
 from filbertshelf.coordination.rates import Rates
-from filbertshelf.coordination.scatter import Budgets, Job, Scatter
+from filbertshelf.coordination.scatter import Job, Scatter
 from filbertshelf.coordination.targets import Targets
 from filbertshelf.errors import NotReadyError, QuarantinedError
 from filbertshelf.metrics import Metrics
 from filbertshelf.protocol.caller import CallerRequest
 from filbertshelf.settings import Settings
-from filbertshelf.state.budgets import LatencyWindow, TokenBudget
 from filbertshelf.state.documents import Version
 from filbertshelf.state.merge import merge_rows
 from filbertshelf.state.outcome import Answer, Outcome, query_outcome
@@ -25,10 +25,6 @@
 from filbertshelf.state.publication import Policy, Publication
 from filbertshelf.state.quarantine import Quarantine, Verdict
 
-RETRY_RATIO = 0.1  # Retries as a share of successes.
-RETRY_BURST = 50
-HEDGE_RATIO = 0.05  # Hedged requests as a share of successes.
-HEDGE_BURST = 20
 REPLAN_SHARE = 0.5  # Of the deadline that must be left to plan again.
 REPLAN_POLL_S = 0.01
 
@@ -68,12 +64,7 @@
         self.quarantine = quarantine
         self.adaptive = cfg.strategy == "adaptive"
         self.admission = Admission(cfg, clock, metrics)
-        self._latencies: dict[str, LatencyWindow] = {}
-        self.budgets = Budgets(
-            TokenBudget(RETRY_RATIO, RETRY_BURST),
-            TokenBudget(HEDGE_RATIO, HEDGE_BURST),
-            self._latency_window,
-        )
+        self.budgets = Budgets(clock)
         self._metrics = metrics
         self._configuration = configuration
         self._check = check
@@ -148,12 +139,6 @@
             )
         return fingerprint
 
-    def _latency_window(self, service: str) -> LatencyWindow:
-        window = self._latencies.get(service)
-        if window is None:
-            window = self._latencies[service] = LatencyWindow(self.clock)
-        return window
-
     async def _run(
         self,
         request_id: str,
--- a/filbertshelf/coordination/scatter.py
+++ b/filbertshelf/coordination/scatter.py
@@ -7,15 +7,15 @@
 import enum
 import heapq
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
 import attrs
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
+from filbertshelf.coordination.budgets import Budgets
 from filbertshelf.coordination.targets import Targets
-from filbertshelf.state.budgets import LatencyWindow, TokenBudget, hedge_delay
 from filbertshelf.state.outcome import Attempt, Coverage, Missing, Reason, Result
 from filbertshelf.state.plan import Plan, ShardRef
 from filbertshelf.state.publication import Goal
@@ -27,7 +27,13 @@
 TAIL_SHARE = 0.9  # Share of shards that must answer before an early partial answer.
 BACKOFF_S = 0.02  # Before a replica that shed load is asked again.
 SOFT_TIMEOUT_SHARE = 1 / 3  # Of the time left, before a silent replica is retried.
-CANARY_SHARE = 1 / 4  # Of the time left that a silent canary may hold up the rest.
+CANARY_CHOICES = 8  # Shards that are compared; more cost time and gain little.
+# A silent canary holds up the rest for a share of the time left, and at most for a
+# multiple of the hedge delay: a request that crashes targets does so while it runs,
+# and what still runs after so long is most likely on a slow replica.
+CANARY_SHARE = 1 / 4
+CANARY_DELAYS = 3.0
+HEDGE_GAIN = 2.0  # A replica that usually takes more than this times the wait is slow.
 
 # Refusals that are known not to have run and don't repeat on the same replica, so
 # that retries after them are bounded by the number of replicas.
@@ -68,15 +74,6 @@
     closed: bool = False
 
 
-@attrs.frozen
-class Budgets:
-    """What all queries of an instance share."""
-
-    retry: TokenBudget
-    hedge: TokenBudget
-    latencies: Callable[[str], LatencyWindow]
-
-
 class Shared(Protocol):
     """What a round needs of the instance."""
 
@@ -193,11 +190,29 @@
             fingerprint=self._job.fingerprint,
             verdict=verdict.name.lower(),
         )
-        self._canary, *self._held = self._runs
-        left = self._job.deadline - self._started_at
-        self._add_timer(left * CANARY_SHARE, Timer.SOFT_TIMEOUT, self._canary)
+        self._canary = self._fastest_shard()
+        self._held = [run for run in self._runs if run is not self._canary]
+        wait = self._canary_wait(self._canary)
+        self._add_timer(wait, Timer.SOFT_TIMEOUT, self._canary)
         self._attempt(self._canary, "canary")
 
+    def _canary_wait(self, run: ShardRun) -> float:
+        """Return for how many seconds a silent canary holds up the rest."""
+        left = self._job.deadline - self._started_at
+        longest = left * CANARY_SHARE
+        delay = self._shared.budgets.hedge_delay(run.ref.service, left)
+        return longest if delay is None else min(longest, CANARY_DELAYS * delay)
+
+    def _fastest_shard(self) -> ShardRun:
+        """Return the shard that is likely to answer first, of the first few.
+
+        The rest of the query waits for the canary, so a slow one delays all of it.
+        """
+        latency = self._shared.targets.lowest_latency
+        return min(
+            self._runs[:CANARY_CHOICES], key=lambda run: latency(run.ref.replicas)
+        )
+
     def _release(self) -> None:
         """Start the shards that waited for the canary."""
         self._released = True
@@ -207,14 +222,18 @@
 
     # Attempts
 
-    def _attempt(self, run: ShardRun, why: str) -> None:
+    def _attempt(
+        self, run: ShardRun, why: str, replicas: Sequence[str] | None = None
+    ) -> None:
         """Send one sub-request for the shard, or close the shard."""
-        allowed = [name for name in run.ref.replicas if self._may_start(name)]
+        if replicas is None:
+            replicas = run.ref.replicas
+        allowed = [name for name in replicas if self._may_start(name)]
         choice = self._shared.targets.choose(allowed, run.tried)
         if choice is not None:
             self._log_choice(run, choice, why)
             self._submit(run, choice.target)
-        elif len(allowed) < len(run.ref.replicas):
+        elif len(allowed) < len(replicas):
             self._add_timer(BACKOFF_S, Timer.QUARANTINE, run)
         else:
             self._give_up(run)
@@ -257,10 +276,10 @@
 
     def _schedule(self, run: ShardRun) -> None:
         left = self._job.deadline - self._clock.monotonic()
-        window = self._shared.budgets.latencies(run.ref.service)
-        delay = hedge_delay(window, left)
-        if delay is not None and self._job.plan.policy.hedge and self._shared.adaptive:
-            self._add_timer(delay, Timer.HEDGE, run)
+        if self._job.plan.policy.hedge and self._shared.adaptive:
+            delay = self._shared.budgets.hedge_delay(run.ref.service, left)
+            if delay is not None:
+                self._add_timer(delay, Timer.HEDGE, run)
         if run is not self._canary:
             self._add_timer(left * SOFT_TIMEOUT_SHARE, Timer.SOFT_TIMEOUT, run)
 
@@ -303,9 +322,7 @@
     def _accept(self, run: ShardRun, attempt: Attempt) -> None:
         run.answer = attempt.answer
         self._open -= 1
-        self._shared.budgets.latencies(run.ref.service).record(attempt.latency)
-        self._shared.budgets.retry.deposit()
-        self._shared.budgets.hedge.deposit()
+        self._shared.budgets.answered(run.ref.service, attempt.latency)
         for call, target in run.calls.items():
             self._shared.targets.cancel(target, call)
         self._release()
@@ -367,11 +384,27 @@
         if len(run.calls) != 1 or run.attempts >= MAX_ATTEMPTS:
             return
         if timer is Timer.HEDGE:
-            if not self._shared.busy() and self._shared.budgets.hedge.try_spend():
-                self._attempt(run, timer.value)
+            self._hedge(run)
         elif self._may_retry():
             self._attempt(run, timer.value)
 
+    def _hedge(self, run: ShardRun) -> None:
+        """Send a hedged request if a replica is likely to be faster."""
+        (call, target), *_ = run.calls.items()
+        now = self._clock.monotonic()
+        if call.running:
+            self._shared.targets.observe_waiting(target, now - call.started_at)
+        untried = [name for name in run.ref.replicas if name not in run.tried]
+        # A hedge to a replica that is known to be slow would only waste the budget.
+        limit = HEDGE_GAIN * (now - call.queued_at)
+        faster = self._shared.targets.faster_than(untried, limit)
+        if (
+            faster
+            and not self._shared.busy()
+            and self._shared.budgets.hedge.try_spend()
+        ):
+            self._attempt(run, Timer.HEDGE.value, faster)
+
     def _retry_now(self, run: ShardRun, timer: Timer) -> None:
         if timer is Timer.QUARANTINE or self._may_retry():
             self._attempt(run, timer.value)
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -251,6 +251,27 @@
         if not entry.state.draining:
             events.emit(events.TARGET_SERVING, target=name)
 
+    def observe_waiting(self, name: str, elapsed: float) -> None:
+        """Record that a call has run at the target for `elapsed` seconds."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.state.observe_waiting(elapsed)
+
+    def faster_than(self, names: Sequence[str], seconds: float) -> list[str]:
+        """Return the targets that usually answer within the time, new ones included."""
+        entries = self._entries
+        return [
+            name
+            for name in names
+            if name in entries and entries[name].state.latency_s <= seconds
+        ]
+
+    def lowest_latency(self, names: Sequence[str]) -> float:
+        """Return the lowest usual latency in seconds, infinite if none is known."""
+        entries = self._entries
+        found = [entries[name].state.latency_s for name in names if name in entries]
+        return min((latency for latency in found if latency), default=float("inf"))
+
     def states(self) -> dict[str, TargetState]:
         """Return the observations of all targets by name."""
         return {name: entry.state for name, entry in self._entries.items()}
--- a/filbertshelf/state/budgets.py
+++ b/filbertshelf/state/budgets.py
@@ -26,6 +26,13 @@
 HEDGE_QUANTILE = 0.95
 """Hedging later than this percentile keeps the hedges below 5% of sub-requests."""
 
+MAX_MEDIANS = 3.0
+"""A hedge comes at this multiple of the median at the latest.
+
+While a slow replica still gets its share, its latencies are the 95th percentile; the
+median stays that of the fast ones.
+"""
+
 MIN_HEDGE_S = 0.001
 """A hedge before this cannot overtake the first attempt."""
 
@@ -127,5 +134,5 @@
     median = window.quantile(0.5)
     if delay is None or median is None:
         return None
-    delay = max(delay, MIN_HEDGE_S)
+    delay = max(min(delay, MAX_MEDIANS * median), MIN_HEDGE_S)
     return delay if delay + median <= deadline_left else None
--- a/filbertshelf/state/replicas.py
+++ b/filbertshelf/state/replicas.py
@@ -22,9 +22,12 @@
 FALL_TIME_S = 2.0
 """The time constant with which the average follows samples below it."""
 
-IDLE_TIME_S = 5.0
+IDLE_TIME_S = 15.0
 """The time constant with which the cost of an unused target falls.
 
+With 5 s, the repeated attempts at a replica that stays 15 times slower used up the
+hedge budget.
+
 The choice never picks the costliest replica, so without this a target that was
 slow once would never be measured again.
 """
@@ -202,6 +205,11 @@
             # A cancelled attempt would have taken at least the elapsed time.
             self._sample(latency_s)
 
+    def observe_waiting(self, elapsed_s: float) -> None:
+        """Record that an attempt has run for `elapsed_s` seconds without an end."""
+        if elapsed_s > self._latency:
+            self._sample(elapsed_s)
+
     def observe_report(self, load: int, draining: bool) -> None:
         """Record the load (requests in flight) and state that the target reports."""
         self._report = load
