--- /dev/null
+++ b/filbertshelf/commands/explain.py
@@ -0,0 +1,32 @@
+"""The subcommand that explains a request from the log files."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+
+from filbertshelf.errors import UserError
+from filbertshelf.explain import describe, find_messages
+
+
+def add(subparsers: argparse._SubParsersAction) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser(
+        "explain", help="show every decision about a request"
+    )
+    parser.add_argument("request_id")
+    parser.add_argument("logs", nargs="+", type=Path, help="log files of instances")
+    parser.set_defaults(handler=run)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Print the decisions about a request in order of time."""
+    found = find_messages(args.request_id, args.logs)
+    if not found:
+        raise UserError(
+            f"no log line names request {args.request_id!r}",
+            "name the log files of all instances that may have handled it",
+        )
+    for message in found:
+        print(describe(message))
+    return 0
--- /dev/null
+++ b/filbertshelf/coordination/runner.py
@@ -0,0 +1,149 @@
+"""Sends bookings to targets: where each goes, and one write at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from collections.abc import Sequence
+
+from filbertshelf import events
+from filbertshelf.coordination.bookings import RunCheck, ShardChoice
+from filbertshelf.coordination.queries import Queries
+from filbertshelf.coordination.targets import Targets
+from filbertshelf.errors import NoServiceError
+from filbertshelf.protocol.bookings import BookingRequest
+from filbertshelf.state.outcome import Attempt, Reason, Result
+from filbertshelf.state.plan import Plan, ShardRef, choose_policy, make_plan
+from filbertshelf.transport.targets import Call
+
+MAX_ATTEMPTS = 3
+
+
+class BookingPlanner:
+    """Chooses the shard of a booking by policy, labels and body."""
+
+    def __init__(self, queries: Queries):
+        self._queries = queries
+
+    def choose(self, request: BookingRequest) -> ShardChoice:
+        """Return the shard and its snapshot.
+
+        The same body goes to the same shard as long as the shard map stays. Raises
+        a kind of `UserError` if the booking must not run.
+        """
+        plan = self._plan(request)
+        shards = [
+            ref
+            for ref in plan.shards
+            if request.service in ("", ref.service) and request.shard in ("", ref.shard)
+        ]
+        if not shards:
+            raise NoServiceError(
+                f"shard {request.service}/{request.shard} is not in the plan",
+                "correct the labels service and shard, or leave them out",
+            )
+        ref = max(shards, key=lambda ref: _weight(ref, request))
+        return ShardChoice(
+            ref.service, ref.shard, ref.index_version, ref.generation, plan.revision
+        )
+
+    def replicas(self, request: BookingRequest, choice: ShardChoice) -> tuple[str, ...]:
+        """Return the replicas that hold the chosen shard's snapshot now."""
+        for ref in self._plan(request).shards:
+            if (ref.service, ref.shard) == (choice.service, choice.shard):
+                return ref.replicas
+        return ()
+
+    def _plan(self, request: BookingRequest) -> Plan:
+        publication = self._queries.publication()
+        labels = {**request.labels, "caller": request.caller, "kind": "booking"}
+        policy = choose_policy(publication, labels).policy
+        return make_plan(publication, self._queries.revision, policy)
+
+
+def _weight(ref: ShardRef, request: BookingRequest) -> bytes:
+    """Return the rendezvous weight of a shard for the booking's body."""
+    text = json.dumps(
+        [ref.service, ref.shard, request.body], sort_keys=True, separators=(",", ":")
+    )
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+class BookingRunner:
+    """Sends one booking to one replica, to another only after "not run"."""
+
+    def __init__(self, planner: BookingPlanner, targets: Targets):
+        self._planner = planner
+        self._targets = targets
+
+    async def run_once(
+        self,
+        request: BookingRequest,
+        ticket_id: str,
+        choice: ShardChoice,
+        deadline: float,
+        check: RunCheck,
+    ) -> Sequence[Attempt]:
+        """Return all attempts; the deadline is in monotonic seconds."""
+        replicas = self._planner.replicas(request, choice)
+        attempts: list[Attempt] = []
+        tried: set[str] = set()
+        while len(attempts) < MAX_ATTEMPTS:
+            check()
+            chosen = self._targets.choose(replicas, tried)
+            if chosen is None:
+                break
+            tried.add(chosen.target)
+            events.emit(
+                events.REPLICA_CHOSEN,
+                request_id=request.request_id,
+                service=choice.service,
+                shard=choice.shard,
+                target=chosen.target,
+                attempt=len(tried),
+                reason=f"booking: {chosen.reason}",
+            )
+            attempt = await self._send(
+                request, ticket_id, choice, chosen.target, deadline, check
+            )
+            attempts.append(attempt)
+            if attempt.result is not Result.NOT_RUN:
+                return attempts
+            check.not_run()
+        return attempts or [Attempt("", Result.NOT_RUN, Reason.NO_REPLICA)]
+
+    async def _send(
+        self,
+        request: BookingRequest,
+        ticket_id: str,
+        choice: ShardChoice,
+        target: str,
+        deadline: float,
+        check: RunCheck,
+    ) -> Attempt:
+        ended: asyncio.Future[Attempt] = asyncio.get_running_loop().create_future()
+
+        def done(_call: Call, attempt: Attempt) -> None:
+            if not ended.done():
+                ended.set_result(attempt)
+
+        ref = ShardRef(
+            choice.service,
+            choice.shard,
+            choice.index_version,
+            choice.generation,
+            (target,),
+        )
+        call = Call(
+            f"{request.request_id}.{target}",
+            ref,
+            "book",
+            json.dumps({"booking": request.body}).encode(),
+            deadline,
+            done,
+            check.before_write,
+            ticket_id,
+        )
+        self._targets.submit(target, call)
+        return await ended
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -202,6 +202,30 @@
     status = 503
 
 
+class PlatformContentError(PlatformError):
+    """The platform answered with a body that is not the expected JSON."""
+
+    code = "platform_content"
+
+
+class PlatformTooLargeError(PlatformError):
+    """The platform answered with a body over the size limit."""
+
+    code = "platform_too_large"
+
+
+class PlatformMissingError(PlatformError):
+    """The platform answered that the document was never published."""
+
+    code = "platform_missing"
+
+
+class DocumentError(ProtocolError):
+    """The entries or the delta of a document don't fit its version."""
+
+    code = "document"
+
+
 class PeerFailedError(PeerTimeoutError):
     """A peer took the message and says that it has no result for it."""
 
@@ -262,3 +286,16 @@
     """An earlier write of the same booking is not known to be without effect."""
 
     code = "second_write"
+
+
+class StandinError(UserError):
+    """A stand-in got a malformed configuration or admin request."""
+
+    code = "bad_standin_request"
+
+
+class ExperimentError(UserError):
+    """A process of an experiment did not start or did not answer."""
+
+    code = "experiment_failed"
+    exit_code = 69
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- a/test/coordination/fleet.py
+++ b/test/coordination/memory_fleet.py
@@ -6,8 +6,6 @@
 import enum
 import random
 
-from history import History
-
 from filbertshelf.clock import ManualClock
 from filbertshelf.coordination.bookings import Bookings, ShardChoice
 from filbertshelf.errors import PeerTimeoutError, PeerUnreachableError
@@ -17,6 +15,7 @@
 from filbertshelf.state.members import Identity, Member, Status
 from filbertshelf.state.outcome import Answer, Attempt, Reason, Result
 from filbertshelf.state.tickets import FinalTable, TableLimits, TicketTable
+from test.history import History
 
 CFG = Settings(
     name="i0",
@@ -286,7 +285,8 @@
     fleet.lost = 0.0
     for instance in fleet.instances:
         instance.resume()
-    await fleet.drive(1.0)
+    # A part of the tickets has expired by then, and of some the records are gone.
+    await fleet.drive(6.0)
     for ticket in tickets:
         fleet.submit(rng.randrange(4), ticket, 3.0)
     await fleet.drive(4.0)
--- a/test/coordination/test_bookings.py
+++ b/test/coordination/test_bookings.py
@@ -6,7 +6,6 @@
 
 import attrs
 import pytest
-from fleet import CFG, Fleet, Runner, choose, run_month_end
 
 from filbertshelf.clock import SystemClock
 from filbertshelf.coordination.bookings import (
@@ -25,6 +24,13 @@
 from filbertshelf.state.outcome import Attempt, Outcome, Result
 from filbertshelf.state.tickets import Decision, FinalTable, State, TicketTable, Verdict
 from filbertshelf.transport.peers import Peers
+from test.coordination.memory_fleet import (
+    CFG,
+    Fleet,
+    Runner,
+    choose,
+    run_month_end,
+)
 
 SEEDS = range(12)
 MUTANT_SEEDS = range(25)
--- /dev/null
+++ b/test/fleet.py
@@ -0,0 +1,178 @@
+"""A small fleet of real instances, targets and a platform on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import aiohttp
+
+from filbertshelf.clock import SystemClock
+from filbertshelf.coordination.instance import Instance
+from filbertshelf.protocol.platform import Row, RowKind, RowState
+from filbertshelf.settings import Settings
+from filbertshelf.standins.platform import PlatformStandin
+from filbertshelf.standins.target import TargetStandin
+from filbertshelf.standins.target_config import HostedService, Snapshot, TargetConfig
+
+KEY = "a key for tests only"
+SHARDS = ("s0", "s1", "s2", "s3")
+
+
+class Fleet:
+    """Starts parts on demand and stops all of them at the end of a test."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack):
+        self._stack = stack
+        self.platform = PlatformStandin()
+        self.targets: dict[str, TargetStandin] = {}
+        self.instances: dict[str, Instance] = {}
+        self.http: aiohttp.ClientSession | None = None
+
+    async def start(
+        self,
+        instances: int = 2,
+        targets: int = 3,
+        policy: Mapping[str, Any] | None = None,
+        target_options: Mapping[str, Any] | None = None,
+        **settings: Any,
+    ) -> None:
+        """Start everything and wait until all instances are ready."""
+        await self._run(self.platform)
+        self.http = await self._stack.enter_async_context(aiohttp.ClientSession())
+        for number in range(targets):
+            await self.add_target(f"t{number}", **(target_options or {}))
+        self.publish(policy=policy)
+        await asyncio.gather(
+            *(self.add_instance(f"i{n}", **settings) for n in range(instances))
+        )
+        await self.until(lambda: all(i.ready() for i in self.instances.values()))
+        await self.until(self._all_connected)
+
+    async def _run(self, service: Any) -> None:
+        await service.start()
+        self._stack.push_async_callback(service.stop)
+
+    async def add_target(self, name: str, **options: Any) -> TargetStandin:
+        """Start a target that holds all shards in snapshot v1, generation 1."""
+        hosted = HostedService("racks", (Snapshot("v1", 1, SHARDS),))
+        cfg = TargetConfig(
+            **{
+                "name": name,
+                "services": (hosted,),
+                "slots": 8,
+                "queue": 64,
+                "connection_cost_ms": 0.0,
+                "service_ms": 2.0,
+                **options,
+            }
+        )
+        target = TargetStandin(cfg, SystemClock())
+        await self._run(target)
+        self.targets[name] = target
+        return target
+
+    async def add_instance(self, name: str, **settings: Any) -> Instance:
+        """Start an instance and list it at the platform."""
+        cfg = Settings(
+            **{
+                "name": name,
+                "data_centre": "bne-1",
+                "fleet_key": KEY,
+                "platform": self.platform.address,
+                "probe_period": 0.2,
+                "probe_timeout": 0.1,
+                "start_grace": 0.3,
+                "drain_timeout": 5.0,
+                "log_file": "/dev/null",
+                **settings,
+            }
+        )
+        instance = Instance(cfg)
+        await self._run(instance)
+        self.instances[name] = instance
+        address = "{}:{}".format(*instance.peers.address)
+        self.platform.set_row(Row(name, RowKind.INSTANCE, address, "bne-1"))
+        return instance
+
+    def publication(self, version: str = "v1", generation: int = 1) -> dict[str, Any]:
+        """Return the publication document of this fleet."""
+        return {
+            "fleet": {"instances": 2, "overlap": 1},
+            "services": {
+                "racks": {
+                    "labels": {"catalogue": "racks"},
+                    "index_version": version,
+                    "generation": generation,
+                    "shards": {shard: sorted(self.targets) for shard in SHARDS},
+                }
+            },
+            "targets": {
+                name: {
+                    "address": target.address,
+                    "data_centre": "bne-1",
+                    "slots": 8,
+                    "connections": 60,
+                }
+                for name, target in self.targets.items()
+            },
+            "policies": {"all": {"services": "catalogue=racks"}},
+        }
+
+    def publish(
+        self, policy: Mapping[str, Any] | None = None, **snapshot: Any
+    ) -> dict[str, Any]:
+        """Publish this fleet's configuration."""
+        doc = self.publication(**snapshot)
+        doc["policies"]["all"].update(policy or {})
+        self.platform.publish(doc)
+        return doc
+
+    def leave_target(self, name: str) -> None:
+        """List a target as leaving."""
+        address = self.targets[name].address
+        row = Row(name, RowKind.TARGET, address, "bne-1", RowState.LEAVING)
+        self.platform.set_row(row)
+
+    async def until(self, condition: Callable[[], bool], timeout: float = 10.0) -> None:
+        """Wait for a condition; raises `TimeoutError` if it does not come true."""
+        async with asyncio.timeout(timeout):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def _all_connected(self) -> bool:
+        names = set(self.targets)
+        return all(set(i.targets.states()) == names for i in self.instances.values())
+
+    async def post(self, instance: str, path: str, doc: Any, **options: Any) -> Any:
+        """Post JSON to an instance; return (status, document)."""
+        host, port = self.instances[instance].entry.address
+        url = f"http://{host}:{port}{path}"
+        async with self.http.post(url, json=doc, **options) as resp:
+            return resp.status, await resp.json()
+
+    async def query(self, instance: str = "i0", **fields: Any) -> Any:
+        """Post a query and return (status, answer)."""
+        doc = {"caller": "desk", "query": {"order_by": "id"}, **fields}
+        return await self.post(instance, "/v1/query", doc)
+
+    async def ticket(self, instance: str = "i0") -> str:
+        """Return a new ticket of an instance."""
+        _status, doc = await self.post(instance, "/v1/tickets", {})
+        return doc["ticket"]
+
+    async def book(self, instance: str, ticket: str, **fields: Any) -> Any:
+        """Post a booking and return (status, answer)."""
+        booking = {"caller": "desk", "ticket": ticket, "booking": {"rack": "r1"}}
+        return await self.post(instance, "/v1/bookings", {**booking, **fields})
+
+    def executions(self, verb: str = "search") -> list[Any]:
+        """Return what all targets ran."""
+        return [
+            execution
+            for target in self.targets.values()
+            for execution in target.history().executions
+            if execution.verb == verb
+        ]
