Answer unknown when a booking is refused before its owner is asked

An instance that shuts down, or that gave up reading the body, answered not_run to a resend whose ticket had run through another instance. Seen with test_a_stopping_instance_does_not_call_a_resend_not_run. For a booking, only an error in the request itself is not_run now; the HTTP status stays.

--- a/filbertshelf/protocol/caller.py
+++ b/filbertshelf/protocol/caller.py
@@ -178,12 +178,16 @@
     return 200
 
 
-def error_doc(request_id: str, exc: FilbertshelfError) -> dict[str, Any]:
+def error_doc(
+    request_id: str, exc: FilbertshelfError, ticketed: bool = False
+) -> dict[str, Any]:
     """Return the JSON document of an error.
 
-    A `UserError` is raised before anything is sent, so the request did not run.
+    A `UserError` is raised before anything is sent, so the request did not run. A
+    request with a ticket may be a resend of one that ran through another instance:
+    there, only an error in the request itself tells that it did not.
     """
-    not_run = isinstance(exc, UserError)
+    not_run = isinstance(exc, RequestError if ticketed else UserError)
     return {
         "request_id": request_id,
         "outcome": (Outcome.NOT_RUN if not_run else Outcome.UNKNOWN).value,
--- a/filbertshelf/transport/entry.py
+++ b/filbertshelf/transport/entry.py
@@ -111,13 +111,14 @@
         return await self._serve(req, parse_query, self._handler.query)
 
     async def _booking(self, req: web.Request) -> web.Response:
-        return await self._serve(req, parse_booking, self._handler.book)
+        return await self._serve(req, parse_booking, self._handler.book, ticketed=True)
 
     async def _serve(
         self,
         req: web.Request,
         parse: Callable[[str, bytes], CallerRequest],
         handle: Callable[[str, CallerRequest], Awaitable[Answer]],
+        ticketed: bool = False,
     ) -> web.Response:
         request_id = uuid.uuid4().hex
         caller = ""
@@ -129,7 +130,7 @@
             answer = await handle(request_id, parsed)
             return self._reply(answer_doc(answer), answer_status(answer))
         except FilbertshelfError as exc:
-            return self._reject(request_id, caller, exc)
+            return self._reject(request_id, caller, exc, ticketed)
         finally:
             self._leave()
 
@@ -166,7 +167,11 @@
             )
 
     def _reject(
-        self, request_id: str, caller: str, exc: FilbertshelfError
+        self,
+        request_id: str,
+        caller: str,
+        exc: FilbertshelfError,
+        ticketed: bool = False,
     ) -> web.Response:
         self._metrics.incr(f"rejected.{exc.code}")
         events.emit(
@@ -176,7 +181,7 @@
             code=exc.code,
             reason=exc.message if isinstance(exc, UserError) else str(exc),
         )
-        return self._reply(error_doc(request_id, exc), exc.status)
+        return self._reply(error_doc(request_id, exc, ticketed), exc.status)
 
     def _reply(self, doc: dict, status: int) -> web.Response:
         resp = web.json_response(doc, status=status)
