--- a/test/transport/test_peers.py
+++ b/test/transport/test_peers.py
@@ -27,8 +27,8 @@
     Refused,
 )
 from filbertshelf.protocol.messages import Kind, decode, encode, message
-from filbertshelf.transport import peers as module
-from filbertshelf.transport.peers import MAX_FRAME_BYTES, MAX_IDLE_LINKS, Sender
+from filbertshelf.transport.link import MAX_FRAME_BYTES, MAX_UNSENT_BYTES
+from filbertshelf.transport.peers import MAX_IDLE_LINKS, Sender
 
 
 @message("test-echo")
@@ -285,7 +285,7 @@
     }
     # Guards against memory that grows with each message to such a peer.
     unsent = client._links[stuck.address].ws.transport.get_write_buffer_size()
-    assert unsent <= module.MAX_UNSENT_BYTES + MAX_FRAME_BYTES
+    assert unsent <= MAX_UNSENT_BYTES + MAX_FRAME_BYTES
     # Guards against a stop that waits for such a peer.
     await asyncio.wait_for(client.stop(), 5.0)
 
