Test the readiness rules; refuse a content whose check fails unexpectedly

A content that makes the check raise is now refused instead of stopping the service, since all instances check the same content. A delta with an outdated base asks other peers instead of repeating the fetch.

--- a/filbertshelf/coordination/configuration.py
+++ b/filbertshelf/coordination/configuration.py
@@ -21,7 +21,6 @@
 )
 from filbertshelf.coordination.store import Store, Taken
 from filbertshelf.errors import (
-    DocumentError,
     FilbertshelfError,
     PlatformError,
     ProtocolError,
@@ -252,15 +251,8 @@
         queue = self._offers[document]
         while not self.should_stop:
             source = await queue.get()
-            # The held version can change during a fetch, for example by the platform;
-            # the delta is then from another base and is asked for once more.
-            for _ in range(2):
-                held = self.store.version(document)
-                if not self.store.wants(document, source.version):
-                    break
+            if self.store.wants(document, source.version):
                 await self._fetch(document, source)
-                if self.store.version(document) == held:
-                    break
 
     async def _fetch(self, document: str, source: _Source) -> None:
         where = "{}:{}".format(*source.address)
@@ -273,14 +265,13 @@
                 raise ProtocolError(f"the reply is {type(reply).__name__}")
             taken = self.store.from_peer(document, reply.change(), where)
         except FilbertshelfError as exc:
-            moved = isinstance(exc, DocumentError) and held != self.store.version(
-                document
-            )
-            if not moved:
+            # If the held version changed meanwhile, for example by the platform, the
+            # delta has another base and that is no fault of the peer.
+            if held == self.store.version(document):
                 events.emit(
                     events.FETCH_FAILED, document=document, peer=where, reason=str(exc)
                 )
-                self._ask_others()
+            self._ask_others()
             return
         if taken is Taken.REFUSED:
             self.readiness.disclaim(document, reply.version)
--- a/filbertshelf/coordination/store.py
+++ b/filbertshelf/coordination/store.py
@@ -48,9 +48,6 @@
 # Upper bound of what CBOR adds to the bytes of an entry's key and value.
 ENTRY_OVERHEAD_BYTES = 10
 
-# Nesting that the JSON parser accepts can be too deep for the check.
-_INVALID = (DocumentError, PublicationError, RecursionError)
-
 
 class Taken(enum.Enum):
     """What became of a content."""
@@ -106,7 +103,9 @@
             return Taken.OLDER
         try:
             entries = _platform_entries(document, found.content)
-        except _INVALID as exc:
+        except Exception as exc:
+            # All instances check the same content, so an error that the check doesn't
+            # expect must not stop every one of them.
             version = Version(found.revision, _content_digest(found.content))
             return self._refuse(document, version, exc)
         version = Version(found.revision, digest_of(entries))
@@ -130,7 +129,8 @@
         try:
             _check_size(whole)
             meaning = _READERS[document](whole)
-        except _INVALID as exc:
+        except Exception as exc:
+            # As above: an unexpected error refuses the content.
             return self._refuse(document, whole.version, exc)
         self.documents[document].apply(whole)
         if document == CONFIG:
@@ -227,7 +227,7 @@
 
 def _reason(exc: Exception) -> str:
     if not isinstance(exc, PublicationError):
-        return str(exc)
+        return f"{type(exc).__name__}: {exc}"
     listed = [str(problem) for problem in exc.problems[:MAX_LOGGED_PROBLEMS]]
     rest = len(exc.problems) - len(listed)
     return " | ".join([*listed, f"and {rest} more"] if rest else listed)
--- a/test/coordination/test_configuration.py
+++ b/test/coordination/test_configuration.py
@@ -6,6 +6,7 @@
 
 from filbertshelf.errors import PublicationError
 from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.state.documents import encode_entries
 from filbertshelf.state.watchers import choose_watchers
 from test.coordination.configuration_fleet import Fleet
 
@@ -52,6 +53,29 @@
         assert await fleet.run(20, lambda: fleet.at(2) == 40) < 8
 
 
+async def test_offers_reach_nearly_all_before_the_probes_do():
+    """Guards against a spread that only the membership probes carry."""
+    async with running(40) as fleet:
+        fleet.platform.down = True
+        first = next(iter(fleet.nodes.values())).config
+        found = PlatformDocument(2, content(2))
+        first._platform_answered("config", found, first.readiness.epoch)
+        await fleet.run(0.2)
+        assert fleet.at(2) >= 32
+
+
+async def test_a_version_that_only_another_build_accepts_blocks_no_start():
+    """Guards against waiting for a version that this build refuses."""
+    async with running(4) as fleet:
+        for node in fleet.nodes.values():
+            doc = node.config.store.documents["config"]
+            doc.accept(9, encode_entries({"fleet": {"instances": 0}}))
+        [new] = await fleet.add(1)
+        fleet.platform.stale["config"] = PlatformDocument(1, content(1))
+        assert await fleet.run(20, lambda: new.config.ready) < 5
+        assert new.config.version.revision == 1
+
+
 async def test_peers_spread_what_one_has_while_the_platform_is_down(log):
     async with running(20) as fleet:
         fleet.platform.down = True
