Refuse hopeless queries before anything is sent, and keep observations

Ruled out: the targets' shedding (no overloaded refusal from any target). Change: the running limit starts at an eighth of max_queries; partial answers count when load is why shards are missing; a query whose slowest shard is predicted to take too much of its time is refused first, the less urgent ones earlier; no retry of silent replicas while requests wait.

Also: a new fleet size keeps a target's state and its queued calls, rate shares exist before the first request, and calls that end during a pause of this process are not counted against the target.

--- a/filbertshelf/coordination/instance.py
+++ b/filbertshelf/coordination/instance.py
@@ -72,7 +72,9 @@
             self._metrics,
             self._announce_drain,
             self._target_died,
+            lambda: bool(self._guard.check()),
         )
+        self.rates = Rates(self.clock, self.peers, self.membership)
         self.queries = Queries(
             cfg,
             self.clock,
@@ -80,7 +82,7 @@
             self.configuration,
             self.targets,
             self.quarantine,
-            Rates(self.clock, self.peers, self.membership),
+            self.rates,
             self.check_confirmed,
         )
         self.entry = EntryServer(cfg, self, self._metrics)
@@ -250,6 +252,7 @@
         publication = self.configuration.publication
         if document == CONFIG and publication is not None:
             self.targets.publish(publication)
+            self.rates.apply(publication)
         elif document == INSTANCES:
             leaving = {
                 name
--- a/filbertshelf/coordination/queries.py
+++ b/filbertshelf/coordination/queries.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
+import attrs
+
 from filbertshelf import events
 from filbertshelf.clock import Clock
 from filbertshelf.coordination.admission import Admission
@@ -14,19 +16,21 @@
 from filbertshelf.coordination.rates import Rates
 from filbertshelf.coordination.scatter import Job, Scatter
 from filbertshelf.coordination.targets import Targets
-from filbertshelf.errors import NotReadyError, QuarantinedError
+from filbertshelf.errors import NotReadyError, OverloadedError, QuarantinedError
 from filbertshelf.metrics import Metrics
-from filbertshelf.protocol.caller import CallerRequest
+from filbertshelf.protocol.caller import MAX_URGENCY, CallerRequest
 from filbertshelf.settings import Settings
 from filbertshelf.state.documents import Version
 from filbertshelf.state.merge import merge_rows
-from filbertshelf.state.outcome import Answer, Outcome, query_outcome
+from filbertshelf.state.outcome import OVERLOAD, Answer, query_outcome
 from filbertshelf.state.plan import Choice, Plan, choose_policy, make_plan
 from filbertshelf.state.publication import Policy, Publication
 from filbertshelf.state.quarantine import Quarantine, Verdict
 
 REPLAN_SHARE = 0.5  # Of the deadline that must be left to plan again.
 REPLAN_POLL_S = 0.01
+# Share of its time that the least urgent query may expect to wait for its shards.
+LEAST_URGENT_SHARE = 0.3
 
 
 class ConfigurationView(Protocol):
@@ -45,6 +49,18 @@
         """Return whether the publication is confirmed."""
 
 
+@attrs.frozen
+class _Work:
+    """A query that is to be run; the deadline is in monotonic seconds."""
+
+    request_id: str
+    policy: Policy
+    body: bytes
+    fingerprint: str
+    deadline: float
+    urgency: int
+
+
 class Queries:
     """Answers queries; one task for each request calls `answer`."""
 
@@ -85,17 +101,21 @@
         fingerprint = self._fingerprint(req, choice.policy)
         await self._rates.take(choice.policy, publication)
         deadline = started + (req.deadline_ms or choice.policy.deadline_ms) / 1000
+        body = json.dumps({"query": req.body}).encode()
+        work = _Work(
+            request_id, choice.policy, body, fingerprint, deadline, req.urgency
+        )
         if not self.adaptive:
-            return await self._run(request_id, req, choice, fingerprint, deadline)
+            return await self._run(work, req.body)
         await self.admission.acquire(request_id, req.caller, req.urgency, deadline)
         admitted = self.clock.monotonic()
-        whole = False
+        by_load = False
         try:
-            answer = await self._run(request_id, req, choice, fingerprint, deadline)
-            whole = answer.outcome is Outcome.WHOLE
+            answer = await self._run(work, req.body)
+            by_load = _set_by_load(answer)
             return answer
         finally:
-            self.admission.release(self.clock.monotonic() - admitted, whole)
+            self.admission.release(self.clock.monotonic() - admitted, by_load)
 
     def publication(self) -> Publication:
         """Return the publication in force.
@@ -139,71 +159,54 @@
             )
         return fingerprint
 
-    async def _run(
-        self,
-        request_id: str,
-        req: CallerRequest,
-        choice: Choice,
-        fingerprint: str,
-        deadline: float,
-    ) -> Answer:
+    async def _run(self, work: _Work, query: Mapping[str, Any]) -> Answer:
         started = self.clock.monotonic()
-        body = json.dumps({"query": req.body}).encode()
-        scatter, plan = await self._round(
-            request_id, choice.policy, body, fingerprint, deadline, False
-        )
+        scatter, plan = await self._round(work, replan=False)
         sub_requests = scatter.sub_requests
         attempts = list(scatter.attempts)
-        replan_until = started + (deadline - started) * REPLAN_SHARE
+        replan_until = started + (work.deadline - started) * REPLAN_SHARE
         if await self._newer_snapshot(scatter, plan, replan_until):
             events.emit(
-                events.REPLANNED, request_id=request_id, reason="the snapshot is gone"
-            )
-            scatter, plan = await self._round(
-                request_id, choice.policy, body, fingerprint, deadline, True
+                events.REPLANNED,
+                request_id=work.request_id,
+                reason="the snapshot is gone",
             )
+            scatter, plan = await self._round(work, replan=True)
             sub_requests += scatter.sub_requests
             attempts += scatter.attempts
         coverage = scatter.coverage()
         answer = Answer(
-            request_id,
+            work.request_id,
             query_outcome(coverage, attempts),
             plan.revision,
             plan.snapshot,
             coverage,
-            merge_rows(scatter.answers(), req.body),
+            merge_rows(scatter.answers(), query),
             "quarantined" if scatter.convicted else "",
             sub_requests,
         )
         self._record(answer, self.clock.monotonic() - started)
         return answer
 
-    async def _round(
-        self,
-        request_id: str,
-        policy: Policy,
-        body: bytes,
-        fingerprint: str,
-        deadline: float,
-        replan: bool,
-    ) -> tuple[Scatter, Plan]:
-        plan = make_plan(
-            self.publication(), self._configuration.version.revision, policy
-        )
+    async def _round(self, work: _Work, replan: bool) -> tuple[Scatter, Plan]:
+        plan = make_plan(self.publication(), self.revision, work.policy)
         events.emit(
             events.PLANNED,
-            request_id=request_id,
+            request_id=work.request_id,
             revision=plan.revision,
             snapshot=plan.snapshot,
             shards=len(plan.shards),
             replan=replan,
         )
+        # Only the first plan may be refused; a query that is planned again has run.
+        if self.adaptive and not replan:
+            self._refuse_hopeless(plan, work)
         job = Job(
-            request_id if not replan else f"{request_id}.r",
+            f"{work.request_id}.r" if replan else work.request_id,
             plan,
-            body,
-            fingerprint,
-            deadline,
+            work.body,
+            work.fingerprint,
+            work.deadline,
             self._check,
             lambda: not replan and self._changed(plan),
         )
@@ -211,6 +214,25 @@
         await scatter.run()
         return scatter, plan
 
+    def _refuse_hopeless(self, plan: Plan, work: _Work) -> None:
+        """Refuse a query whose slowest shard would take too much of its time.
+
+        Less urgent queries give up more of their time, so that the queues of the
+        targets stay short for urgent ones.
+        """
+        predicted = max(
+            (self.targets.predicted_time(ref.replicas) for ref in plan.shards),
+            default=0.0,
+        )
+        usable = (
+            LEAST_URGENT_SHARE + (1 - LEAST_URGENT_SHARE) * work.urgency / MAX_URGENCY
+        )
+        if predicted > usable * (work.deadline - self.clock.monotonic()):
+            raise OverloadedError(
+                f"its slowest shard would need about {predicted:.3f} s",
+                "send the request again later, or with a longer deadline",
+            )
+
     def _changed(self, plan: Plan) -> bool:
         """Return whether the publication in force names another snapshot."""
         publication = self._configuration.publication
@@ -254,3 +276,13 @@
             elapsed_ms=round(elapsed * 1000, 1),
             sub_requests=answer.sub_requests,
         )
+
+
+def _set_by_load(answer: Answer) -> bool:
+    """Return whether the duration tells of this instance's load.
+
+    A replica that never answers also makes a query last until its deadline; that is
+    no reason to run fewer queries.
+    """
+    reasons = {missing.reason for missing in answer.coverage.missing}
+    return not reasons or not reasons.isdisjoint(OVERLOAD)
--- a/filbertshelf/coordination/rates.py
+++ b/filbertshelf/coordination/rates.py
@@ -27,6 +27,17 @@
         self._not_before: dict[str, float] = {}
         peers.register(AskTokens, self._on_ask)
 
+    def apply(self, publication: Publication) -> None:
+        """Make the shares of a publication.
+
+        A new share is empty, so it has to exist before the first request needs it.
+        """
+        for policy in publication.policies.values():
+            if policy.rate_per_s:
+                self._share(policy, publication)
+        for name in self._shares.keys() - publication.policies.keys():
+            del self._shares[name]
+
     async def take(self, policy: Policy, publication: Publication) -> None:
         """Take one token of the policy's rate.
 
--- a/filbertshelf/coordination/scatter.py
+++ b/filbertshelf/coordination/scatter.py
@@ -141,6 +141,7 @@
                 return
             stop_at = self._stop_at()
             if now >= stop_at:
+                self._note_own_queue()
                 self._log_stop(stop_at)
                 return
             due = self._timers[0][0] if self._timers else stop_at
@@ -381,6 +382,9 @@
             return
         if run is self._canary and timer is Timer.SOFT_TIMEOUT:
             self._release()
+        if self._shared.busy():
+            # Under overload every further sub-request takes a slot from another query.
+            return
         if len(run.calls) != 1 or run.attempts >= MAX_ATTEMPTS:
             return
         if timer is Timer.HEDGE:
@@ -438,6 +442,13 @@
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
 
+    def _note_own_queue(self) -> None:
+        """Name this instance's own queue where it is why a shard is missing."""
+        for run in self._runs:
+            waiting = run.calls and not any(call.running for call in run.calls)
+            if waiting and run.answer is None and not run.closed:
+                run.reason = Reason.NO_CAPACITY
+
     def _log_stop(self, stop_at: float) -> None:
         late = stop_at >= self._job.deadline
         events.emit(
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -44,28 +44,20 @@
     NOTICE = "notice of a peer"
 
 
-@attrs.define(eq=False)
-class Entry:
-    """One target with its link, its observations and its concurrency limit."""
-
-    target: Target
-    link: TargetLink
-    state: TargetState
-    quota: int
-    drain_sources: set[DrainSource] = attrs.field(factory=set)
-    died_at: float = float("-inf")
-
-
 class FixedLimit:
     """The baseline's gate: only the connection quota counts."""
 
     def __init__(self, limit: int):
-        self._limit = limit
+        self.limit = limit
         self._in_flight = 0
 
+    def set_quota(self, quota: int) -> None:
+        """Apply the quota of a new publication."""
+        self.limit = quota
+
     def try_start(self) -> bool:
         """Count an exchange, or return False if the limit is reached."""
-        if self._in_flight >= self._limit:
+        if self._in_flight >= self.limit:
             return False
         self._in_flight += 1
         return True
@@ -79,6 +71,19 @@
         self._in_flight -= 1
 
 
+@attrs.define(eq=False)
+class Entry:
+    """One target with its link, its observations and its concurrency limit."""
+
+    target: Target
+    link: TargetLink | None
+    state: TargetState
+    gate: AdaptiveLimit | FixedLimit
+    quota: int
+    drain_sources: set[DrainSource] = attrs.field(factory=set)
+    died_at: float = float("-inf")
+
+
 class Targets(mode.Service):
     """Owns the links to all targets and keeps them equal to the publication."""
 
@@ -90,6 +95,7 @@
         metrics: Metrics,
         on_draining: Callable[[str], None] = lambda name: None,
         on_died: Callable[[str], None] = lambda name: None,
+        paused: Callable[[], bool] = lambda: False,
     ):
         super().__init__()
         self._cfg = cfg
@@ -102,6 +108,7 @@
         self._adaptive = cfg.strategy == "adaptive"
         self.on_draining = on_draining
         self.on_died = on_died
+        self._paused = paused
 
     def publish(self, publication: Publication) -> None:
         """Bring the links in line with a publication, soon."""
@@ -123,27 +130,41 @@
     async def _place(self, target: Target, fleet: Fleet) -> None:
         quota = connection_quota(target, fleet)
         entry = self._entries.get(target.name)
-        if entry is not None:
-            if (entry.target, entry.quota) == (target, quota):
-                return
-            await self._remove(target.name, "its entry changed")
-        await self._add(target, quota)
-
-    async def _add(self, target: Target, quota: int) -> None:
-        state = TargetState(target, self._clock)
+        if entry is None:
+            events.emit(events.TARGET_ADDED, target=target.name, address=target.address)
+            await self._link(self._make_entry(target, quota))
+        elif entry.target.address != target.address:
+            await self._remove(target.name, "its address changed")
+            await self._place(target, fleet)
+        elif (entry.target, entry.quota) != (target, quota):
+            # The process is the same, so what was observed of it stays true.
+            old = entry.link
+            entry.gate.set_quota(quota)
+            entry.state.target = target
+            await self._link(attrs.evolve(entry, target=target, quota=quota))
+            old.move_waiting(self._entries[target.name].link)
+            self.add_future(self._stop_link(old))
+
+    def _make_entry(self, target: Target, quota: int) -> Entry:
         limit = AdaptiveLimit(target.slots, quota, self._clock)
-        link = TargetLink(
+        gate = limit if self._adaptive else FixedLimit(quota)
+        state = TargetState(target, self._clock, self._rng)
+        return Entry(target, None, state, gate, quota)
+
+    async def _link(self, entry: Entry) -> None:
+        """Put a new link into the entry, and the entry into the table."""
+        target = entry.target
+        entry.link = TargetLink(
             target.name,
             target.address,
-            quota,
+            entry.quota,
             self._clock,
-            limit if self._adaptive else FixedLimit(quota),
+            entry.gate,
             lambda report: self._on_report(target.name, report),
         )
-        self._entries[target.name] = Entry(target, link, state, quota)
-        await self.add_runtime_dependency(link)
-        events.emit(events.TARGET_ADDED, target=target.name, address=target.address)
-        self.add_future(link.warm_up())
+        self._entries[target.name] = entry
+        await self.add_runtime_dependency(entry.link)
+        self.add_future(entry.link.warm_up())
 
     async def _remove(self, name: str, reason: str) -> None:
         entry = self._entries.pop(name)
@@ -197,7 +218,11 @@
     def _observe(self, entry: Entry, call: Call, attempt: Attempt) -> None:
         # The wait in the own queue says nothing about the target.
         latency = self._clock.monotonic() - call.started_at if call.started_at else 0.0
-        entry.state.finished(attempt.result, attempt.reason, latency)
+        reason = attempt.reason
+        if attempt.result is Result.UNKNOWN and self._paused():
+            # Calls that ended while this process stood still say nothing either.
+            reason = Reason.PAUSED
+        entry.state.finished(attempt.result, reason, latency)
         if attempt.reason is Reason.DRAINING:
             self.drain(entry.target.name, DrainSource.TARGET)
         elif attempt.reason is Reason.CONNECTION_LOST:
@@ -272,6 +297,21 @@
         found = [entries[name].state.latency_s for name in names if name in entries]
         return min((latency for latency in found if latency), default=float("inf"))
 
+    def predicted_time(self, names: Sequence[str]) -> float:
+        """Return the least expected seconds to an answer over the replicas.
+
+        It is 0.0 where nothing is known, and where no replica is available, since
+        waiting is not what such a shard needs.
+        """
+        entries = (self._entries[name] for name in names if name in self._entries)
+        times = (_predicted(entry) for entry in entries if entry.state.available())
+        return min(times, default=0.0)
+
     def states(self) -> dict[str, TargetState]:
         """Return the observations of all targets by name."""
         return {name: entry.state for name, entry in self._entries.items()}
+
+
+def _predicted(entry: Entry) -> float:
+    rounds = (entry.state.in_flight + 1) / max(1, entry.link.limit)
+    return entry.state.usual_s * max(1.0, rounds)
--- a/filbertshelf/state/admission.py
+++ b/filbertshelf/state/admission.py
@@ -12,7 +12,13 @@
 
 URGENCIES = 10
 
-MIN_RUNNING_SHARE = 0.125
+START_SHARE = 0.125
+"""The running limit starts at this part of `max_running` and rises while it is used.
+
+A restarted instance at month-end must not run a month-end's queue at once.
+"""
+
+MIN_RUNNING_SHARE = 0.03125
 """The running limit stays above this part of `max_running`.
 
 Slow targets also inflate the latency of queries; the limit must not collapse then.
@@ -149,7 +155,7 @@
         self._clock = clock
         self._max_running = max_running
         self._max_queued = max_queued
-        self._limit = float(max_running)
+        self._limit = max(1.0, max_running * START_SHARE)
         self._decreased_at = float("-inf")
         self._latency = LatencyFloor(clock)
         self._service_s = 0.0
--- a/filbertshelf/state/outcome.py
+++ b/filbertshelf/state/outcome.py
@@ -38,6 +38,10 @@
     PAUSED = "paused"
 
 
+OVERLOAD = frozenset({Reason.NO_CAPACITY, Reason.OVERLOADED})
+"""Reasons that tell of more load than the targets or the connections carry."""
+
+
 class Outcome(enum.Enum):
     """What a caller is told about a request."""
 
--- a/filbertshelf/state/replicas.py
+++ b/filbertshelf/state/replicas.py
@@ -180,6 +180,11 @@
         """Return the average latency in seconds, 0.0 before the first sample."""
         return self._latency
 
+    @property
+    def usual_s(self) -> float:
+        """Return the slowly moving mean of answers in seconds, 0.0 before the first."""
+        return self._usual
+
     def started(self) -> None:
         """Count an attempt that is being sent to the target."""
         now = self._clock.monotonic()
--- a/filbertshelf/transport/targets.py
+++ b/filbertshelf/transport/targets.py
@@ -66,6 +66,10 @@
 class Gate(Protocol):
     """Limits how many exchanges with a target run at once."""
 
+    @property
+    def limit(self) -> int:
+        """Return how many exchanges may run at once now."""
+
     def try_start(self) -> bool:
         """Count an exchange, or return False if the limit is reached."""
 
@@ -115,7 +119,7 @@
     async def on_stop(self) -> None:
         """Wait for the running calls, then close the connections."""
         while self._waiting:
-            self._finish(self._waiting.popleft(), Result.NOT_RUN, Reason.DRAINING)
+            self._finish(self._waiting.popleft(), Result.NOT_RUN, Reason.NO_REPLICA)
         if self._running:
             await asyncio.wait(set(self._running))
         if self._session is not None:
@@ -126,12 +130,22 @@
         """Return the number of calls that wait or run."""
         return len(self._waiting) + len(self._running)
 
+    @property
+    def limit(self) -> int:
+        """Return how many calls may run at once now."""
+        return self._gate.limit
+
     def submit(self, call: Call) -> None:
         """Queue a call; its `done` is called when it has ended."""
         call.queued_at = self._clock.monotonic()
         self._waiting.append(call)
         self._pump()
 
+    def move_waiting(self, other: TargetLink) -> None:
+        """Hand the calls that have not started to another link."""
+        while self._waiting:
+            other.submit(self._waiting.popleft())
+
     def cancel(self, call: Call) -> None:
         """End a call whose answer is no longer wanted.
 
