Keep the delay between platform calls when reads succeed and watches don't

A platform that answers reads but ends watches at once was called about 100 times a second by 6 watchers: each read that succeeded reset the delay. Only a watch that succeeds resets it now, and a watch that ends early without news counts as failed.

--- a/filbertshelf/coordination/platform_watch.py
+++ b/filbertshelf/coordination/platform_watch.py
@@ -11,7 +11,7 @@
 from filbertshelf import events
 from filbertshelf.clock import Clock
 from filbertshelf.errors import PlatformError, PlatformMissingError
-from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.protocol.platform import MAX_WAIT_S, PlatformDocument
 from filbertshelf.state.backoff import Backoff
 
 FIRST_RETRY_S = 0.25
@@ -98,7 +98,7 @@
         self._owner = owner
         self._clock = clock
         self._backoff = Backoff(FIRST_RETRY_S, HIGHEST_RETRY_S, rng)
-        self._wait = wait
+        self._wait = min(wait, MAX_WAIT_S)
         self._after: int | None = None
         self._quiet = 0
 
@@ -135,8 +135,6 @@
             self._after = None
             if not isinstance(exc, PlatformMissingError):
                 await self._clock.sleep(self._backoff.delay())
-        else:
-            self._backoff.reset()
 
     async def _start(self) -> None:
         try:
@@ -149,13 +147,13 @@
     async def _watch(self, after: int) -> None:
         epoch = self._owner.epoch()
         try:
-            found = await self._client.watch(self._document, after, self._wait)
-            if found is not None and found.revision <= after:
-                raise PlatformError(f"a watch after {after} gave {found.revision}")
+            found = await self._checked_watch(after)
         except PlatformError as exc:
             self.health.failed(exc)
             raise
         self.health.answered()
+        # A read that succeeds between watches that fail must not shorten the delay.
+        self._backoff.reset()
         if found is not None:
             self._take(found, epoch)
             return
@@ -166,6 +164,17 @@
         else:
             self._after = max(after, self._owner.held_revision(self._document))
 
+    async def _checked_watch(self, after: int) -> PlatformDocument | None:
+        """Watch once; an answer that would cause a loop of calls is an error."""
+        start = self._clock.monotonic()
+        found = await self._client.watch(self._document, after, self._wait)
+        elapsed = self._clock.monotonic() - start
+        if found is None and elapsed < self._wait / 2:
+            raise PlatformError(f"a watch of {self._wait:g} s ended in {elapsed:.3f} s")
+        if found is not None and found.revision <= after:
+            raise PlatformError(f"a watch after {after} gave {found.revision}")
+        return found
+
     def _take(self, found: PlatformDocument, epoch: int) -> None:
         self._quiet = 0
         self._owner.answered(self._document, found, epoch)
--- a/test/coordination/configuration_fleet.py
+++ b/test/coordination/configuration_fleet.py
@@ -21,13 +21,18 @@
 
 
 class FakePlatform:
-    """Counts calls; `down` fails them, `stale` serves other documents."""
+    """Counts calls; `down` fails them, `stale` serves other documents.
+
+    `eager` answers watches at once with the old document, `hasty` with nothing.
+    """
 
     def __init__(self, clock):
         self.clock = clock
         self.documents = {"instances": PlatformDocument(0, {})}
         self.stale = {}
         self.down = False
+        self.eager = False
+        self.hasty = False
         self.calls = 0
 
     def publish(self, revision, content):
@@ -48,9 +53,10 @@
     async def watch(self, document, after, wait):
         """Return the document above `after`, None after `wait` seconds."""
         self.calls += 1
+        await asyncio.sleep(0)
         until = self.clock.monotonic() + wait
-        while self._served(document).revision <= after:
-            if self.clock.monotonic() >= until:
+        while self._served(document).revision <= after and not self.eager:
+            if self.hasty or self.clock.monotonic() >= until:
                 return None
             await self.clock.sleep(STEP_S)
         return self._served(document)
--- a/test/coordination/test_configuration.py
+++ b/test/coordination/test_configuration.py
@@ -127,10 +127,25 @@
     assert {text.split("-")[0] for text in offered} == {"2"}
 
 
+async def test_a_platform_that_fails_at_once_is_not_called_without_pause():
+    """Guards against a call loop that uses up the platform's reads."""
+    async with running(6) as fleet:
+        for fault in ("down", "eager", "hasty"):
+            setattr(fleet.platform, fault, True)
+            before = fleet.platform.calls
+            await fleet.run(10)
+            assert fleet.platform.calls - before <= 6 * 2 * 24
+            setattr(fleet.platform, fault, False)
+            await fleet.run(5)
+
+
 async def test_an_invalid_publication_is_refused_everywhere_and_not_offered(log):
     async with running(6) as fleet:
         fleet.platform.publish(2, {"fleet": {"instances": 0}})
+        before = fleet.platform.calls
         await fleet.run(10)
+        # 6 watchers, 2 documents; the refused revision isn't read again and again.
+        assert fleet.platform.calls - before <= 6 * 2 * 3
         assert fleet.at(1) == 6
         refused = [m for m in log if m.get("event") == 401]
         watchers = [n for n in fleet.nodes.values() if n.config.watching]
