--- a/test/coordination/measure_spread.py
+++ b/test/coordination/measure_spread.py
@@ -48,14 +48,17 @@
     await fleet.run(30, lambda: fleet.ready() and fleet.at(1) == size)
     await fleet.run(12)
     before = bytes_received(fleet)
+    calls = fleet.platform.calls
     await fleet.run(IDLE_S)
+    calls = fleet.platform.calls - calls
     idle = [
         (b - a) / IDLE_S for a, b in zip(before, bytes_received(fleet), strict=True)
     ]
     before = bytes_received(fleet, "payload")
     fleet.platform.publish(2, publication(1))
     await fleet.run(8, lambda: fleet.at(2) > 0, LATENCY_S)
-    took = await fleet.run(8, lambda: fleet.at(2) == size, LATENCY_S)
+    most = await fleet.run(8, lambda: fleet.at(2) >= 0.9 * size, LATENCY_S)
+    took = most + await fleet.run(8, lambda: fleet.at(2) == size, LATENCY_S)
     # Until all have it, the last offers and replies are still under way.
     await fleet.run(2, step=LATENCY_S)
     after = bytes_received(fleet, "payload")
@@ -64,9 +67,10 @@
     kind = "delta" if history_keys else "whole"
     print(
         f"{size:4} nodes, {kind}: mean {sum(change) / size:9.0f} B, "
-        f"max {max(change):7} B per node; all have it {took * 1000:5.0f} ms after the "
-        f"first ({took / LATENCY_S:3.0f} one-way trips); "
-        f"idle {sum(idle) / size:3.0f} B/s per node"
+        f"max {max(change):7} B per node; after the first, 90% have it in "
+        f"{most * 1000:.1f} ms ({most / LATENCY_S:.0f} one-way trips), all in "
+        f"{took * 1000:.0f} ms; idle {sum(idle) / size:3.0f} B/s per node and "
+        f"{calls} platform calls in {IDLE_S} s"
     )
 
 
