--- a/filbertshelf/coordination/bookings.py
+++ b/filbertshelf/coordination/bookings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Protocol
 
 import attrs
@@ -36,6 +36,7 @@
     read_handoff,
 )
 from filbertshelf.settings import Settings
+from filbertshelf.state.members import Address, Member, Status
 from filbertshelf.state.outcome import (
     Answer,
     Attempt,
@@ -47,7 +48,6 @@
     without_answer,
 )
 from filbertshelf.state.tickets import (
-    Address,
     Decision,
     FinalExport,
     FinalTable,
@@ -66,11 +66,14 @@
 HANDOFF_CANDIDATES = 4
 HANDOFF_TIMEOUT = 2.0
 ASK_TIMEOUT = 1.0
-# One part of a final table stays below a peer message's limit of 1 MiB.
+# One part of a final table stays below the 2 MiB limit of a frame between peers;
+# the largest part of a full table was 0.35 MB.
 PART_RECORDS = 2_000
 PART_BYTES = 262_144
 # A larger answer isn't kept, since a resend could then not get the same one.
 MAX_OUTCOME_BYTES = 65_536
+# A leaving member would soon take a table with it; a suspect one may be alive.
+_MAY_HOLD = (Status.ALIVE, Status.SUSPECT)
 # The verdicts of a final table, or of an owner, that answer the request.
 _NOT_RUN = (Verdict.EXPIRED, Verdict.CLOSED, Verdict.ABSENT)
 _DEFINITE = (*_NOT_RUN, Verdict.RECORDED, Verdict.OTHER_BODY)
@@ -146,11 +149,8 @@
 class Members(Protocol):
     """The part of the membership that bookings use."""
 
-    def peers(self) -> Mapping[str, Address]:
-        """Return the peer address by id of the live members that aren't leaving.
-
-        This instance is not among them.
-        """
+    def members(self) -> Sequence[Member]:
+        """Return the rows that are not dead, this instance included."""
 
 
 class RunCheck:
@@ -249,6 +249,8 @@
         if self._table.mints(ticket):
             return await self._submit_here(ticket, request, deadline)
         decision = self._finals.lookup(ticket, request.digest())
+        if decision.verdict in _DEFINITE:
+            _log_final(decision, ticket, request)
         if decision.verdict not in _DEFINITE:
             decision = await self._forward(ticket, ticket_text, request, deadline)
         if decision.verdict not in _DEFINITE:
@@ -343,7 +345,9 @@
     ) -> Answer:
         """Record the answer in the table and return it, or what replaces it."""
         try:
+            # The first caller gets what a resend gets: what the codec restores.
             outcome = encode_answer(answer)
+            answer = decode_answer(outcome)
         except Exception as exc:
             events.emit(events.RUNNER_FAULT, ticket=ticket.id, reason=repr(exc))
             answer = _no_answer(request, Outcome.UNKNOWN, "answer_not_encodable")
@@ -420,13 +424,7 @@
         found = [reply for reply in replies if reply.verdict in _DEFINITE]
         # A holder may know the outcome of a run that another has as unknown.
         decision = found[0] if found else Decision(Verdict.UNKNOWN)
-        events.emit(
-            events.FINAL_CONSULTED,
-            request_id=request.request_id,
-            ticket=ticket.id,
-            owner=ticket.owner.id,
-            verdict=decision.verdict.value,
-        )
+        _log_final(decision, ticket, request)
         return decision
 
     async def _ask(self, address: Address, msg: Any, timeout: float) -> Decision:
@@ -435,18 +433,25 @@
             return Decision(Verdict.UNKNOWN)
         try:
             reply = await self._peers.request(address, msg, timeout)
-            return Decision(Verdict(reply.verdict), reply.outcome)
-        except FilbertshelfError:
-            return Decision(Verdict.UNKNOWN)
-        except (AttributeError, ValueError):
-            # A peer of another version replied with what this one doesn't know.
+            decision = Decision(Verdict(reply.verdict), reply.outcome)
+            if decision.verdict is Verdict.RECORDED:
+                decode_answer(decision.outcome)
+        except (FilbertshelfError, AttributeError, ValueError):
+            # The last two: a peer of another version replied with an unknown
+            # message or verdict.
             return Decision(Verdict.UNKNOWN)
+        return decision
 
     def _candidates(self, owner_id: str) -> list[Address]:
         """Return the addresses where the owner's final table may be."""
-        peers = self._members.peers()
-        ranked = rank_peers(owner_id, peers.keys() - {owner_id})
-        return [peers[name] for name in ranked[:HANDOFF_CANDIDATES]]
+        own = self._table.owner.id
+        addresses = {
+            member.id: member.address
+            for member in self._members.members()
+            if member.id not in (own, owner_id) and member.status in _MAY_HOLD
+        }
+        ranked = rank_peers(owner_id, addresses)
+        return [addresses[name] for name in ranked[:HANDOFF_CANDIDATES]]
 
     async def _hand_off(self, export: FinalExport) -> None:
         accepted = []
@@ -477,13 +482,11 @@
     # Handlers of peer messages.
 
     async def _on_forward(self, sender: Any, msg: ForwardBooking) -> BookingResult:
-        """Answer as the owner; never forward again."""
+        """Answer as the owner; a ticket of another is unknown, not forwarded again."""
         deadline = self._clock.monotonic() + msg.deadline_ms / 1000
         try:
             ticket = parse_ticket(msg.ticket, self._cfg.fleet_key)
             request = decode_request(msg.request)
-            if not self._table.mints(ticket):
-                return BookingResult(Verdict.UNKNOWN.value)
             answer = await self._submit_here(ticket, request, deadline)
         except TicketBodyError:
             return BookingResult(Verdict.OTHER_BODY.value)
@@ -591,3 +594,13 @@
     else:
         reason = decision.verdict.value
         events.emit(events.BOOKING_REFUSED, reason=reason, **fields)
+
+
+def _log_final(decision: Decision, ticket: Ticket, request: BookingRequest) -> None:
+    events.emit(
+        events.FINAL_CONSULTED,
+        request_id=request.request_id,
+        ticket=ticket.id,
+        owner=ticket.owner.id,
+        verdict=decision.verdict.value,
+    )
--- a/filbertshelf/coordination/instance.py
+++ b/filbertshelf/coordination/instance.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Mapping
 
-import attrs
 import mode
 
 from filbertshelf import events
@@ -26,7 +25,7 @@
 from filbertshelf.protocol.notices import Topic
 from filbertshelf.protocol.platform import CONFIG, INSTANCES, RowKind, RowState
 from filbertshelf.settings import Settings
-from filbertshelf.state.members import Address, Identity, Status
+from filbertshelf.state.members import Identity
 from filbertshelf.state.outcome import Answer
 from filbertshelf.state.pause import PauseGuard
 from filbertshelf.state.quarantine import Quarantine
@@ -41,22 +40,6 @@
 HANDOFF_SHARE = 0.5  # Of the drain timeout, for bookings that still run.
 
 
-@attrs.frozen
-class LivePeers:
-    """The members that a ticket table may be handed to."""
-
-    membership: Membership
-
-    def peers(self) -> Mapping[str, Address]:
-        """Return the peer address by id of the other members that are alive."""
-        own = self.membership.own.id
-        return {
-            member.id: member.address
-            for member in self.membership.members()
-            if member.id != own and member.status is Status.ALIVE
-        }
-
-
 class Instance(mode.Service):
     """A whole instance; it is ready once its configuration is confirmed."""
 
@@ -140,13 +123,7 @@
 
     def _make_bookings(self) -> Bookings:
         # The table names the peer address, which is known once the server listens.
-        table = TicketTable(
-            self.cfg,
-            self.clock,
-            self.cfg.name,
-            self.peers.address,
-            self._identity.incarnation,
-        )
+        table = TicketTable(self.cfg, self.clock, self._identity, self.peers.address)
         planner = BookingPlanner(self.queries)
         return Bookings(
             self.cfg,
@@ -154,7 +131,7 @@
             table,
             FinalTable(self.clock),
             self.peers,
-            LivePeers(self.membership),
+            self.membership,
             planner,
             BookingRunner(planner, self.targets),
             self._guard,
--- a/filbertshelf/standins/target.py
+++ b/filbertshelf/standins/target.py
@@ -90,7 +90,8 @@
         counters = self._standin.counters
         if len(self.open) >= self._standin.cfg.connections:
             counters.connections_refused += 1
-            transport.abort()
+            # The handler's task has to start before its connection is lost.
+            asyncio.get_running_loop().call_soon(transport.abort)
             return
         self.open[handler] = transport
         self.fresh.add(handler)
@@ -195,7 +196,11 @@
 
     def clear(self) -> None:
         """Reset the totals and the history; faults and versions stay."""
-        self.counters = Counters()
+        # Open connections and running work are peaks of the new period too.
+        self.counters = Counters(
+            peak_connections=len(self._connections.open),
+            peak_in_flight=self._work.running,
+        )
         self._executions = []
 
     async def set_faults(self, faults: Faults) -> None:
--- a/filbertshelf/state/members.py
+++ b/filbertshelf/state/members.py
@@ -78,7 +78,10 @@
 
 
 def merge(first: Member, second: Member) -> Member:
-    """Return the row that wins: higher incarnation, then higher status."""
+    """Return which of two rows of one member wins.
+
+    The higher incarnation wins, then the higher status.
+    """
     return max(first, second, key=lambda member: member.precedence)
 
 
@@ -142,9 +145,10 @@
         known = {row.address for row in self if row.status is not Status.DEAD}
         return tuple(sorted(self._candidates - known))
 
-    def apply(self, update: Member, now: float) -> Member | None:
+    def apply(self, update: Member, now: float, spread: bool = True) -> Member | None:
         """Merge a row; return the new row if it changed, else None.
 
+        `spread` tells whether a changed row is sent on to others.
         A row about this instance is refuted, and the refutation is returned.
         """
         if update.id == self.own.id:
@@ -152,23 +156,20 @@
         known = self._rows.get(update.id)
         if known is not None and merge(known, update) == known:
             return None
-        if known is None and update.status is Status.DEAD:
-            # The row of a member that was forgotten here isn't brought back.
-            return None
-        self._store(update, now)
+        self._store(update, now, spread)
         return update
 
     def suspect(self, member_id: str, now: float) -> Member | None:
         """Record that a member did not answer; return its row if it changed.
 
-        A leaving member that no longer answers has left and is dead at once.
+        A member that announced that it leaves and no longer answers is dead at once.
         """
         row = self._rows.get(member_id)
         if row is None or member_id == self.own.id:
             return None
-        if row.status is Status.ALIVE and member_id not in self._listed_leaving:
+        if row.status is Status.ALIVE:
             return self.apply(attrs.evolve(row, status=Status.SUSPECT), now)
-        if row.status in (Status.ALIVE, Status.LEAVING):
+        if row.status is Status.LEAVING:
             return self.apply(attrs.evolve(row, status=Status.DEAD), now)
         return None
 
@@ -195,6 +196,10 @@
             if row.status is Status.SUSPECT:
                 self._since[row.id] = now
 
+    def set_address(self, address: Address) -> None:
+        """Set the own address, which is known only after listening."""
+        self._set_own(attrs.evolve(self.own, address=address))
+
     def raise_incarnation(self, at_least: int = 0) -> Member:
         """Raise the own incarnation by one or to `at_least`; return the own row."""
         incarnation = max(self.own.incarnation + 1, at_least)
@@ -296,12 +301,16 @@
         self._queue(row)
         return row
 
-    def _store(self, row: Member, now: float) -> None:
+    def _store(self, row: Member, now: float, spread: bool = True) -> None:
         known = self._rows.get(row.id)
         if known is None or known.status is not row.status:
             self._since[row.id] = now
         self._rows[row.id] = row
-        self._queue(row)
+        if spread:
+            self._queue(row)
+        else:
+            # A queued older row would contradict this one.
+            self._updates.pop(row.id, None)
 
     def _queue(self, row: Member) -> None:
         self._updates[row.id] = _Update(row)
--- a/filbertshelf/transport/entry.py
+++ b/filbertshelf/transport/entry.py
@@ -63,7 +63,7 @@
         self._metrics = metrics
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
-        self._stopping = False
+        self.stopping = False
         self.in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -94,7 +94,7 @@
         Kept connections stay open meanwhile: each gets a refusal or its answer with
         `Connection: close`. `timeout` is in seconds.
         """
-        self._stopping = True
+        self.stopping = True
         if self._site is not None:
             await self._site.stop()
         with contextlib.suppress(TimeoutError):
@@ -111,13 +111,14 @@
         return await self._serve(req, parse_query, self._handler.query)
 
     async def _booking(self, req: web.Request) -> web.Response:
-        return await self._serve(req, parse_booking, self._handler.book)
+        return await self._serve(req, parse_booking, self._handler.book, ticketed=True)
 
     async def _serve(
         self,
         req: web.Request,
         parse: Callable[[str, bytes], CallerRequest],
         handle: Callable[[str, CallerRequest], Awaitable[Answer]],
+        ticketed: bool = False,
     ) -> web.Response:
         request_id = uuid.uuid4().hex
         caller = ""
@@ -129,7 +130,7 @@
             answer = await handle(request_id, parsed)
             return self._reply(answer_doc(answer), answer_status(answer))
         except FilbertshelfError as exc:
-            return self._reject(request_id, caller, exc)
+            return self._reject(request_id, caller, exc, ticketed)
         finally:
             self._leave()
 
@@ -153,20 +154,24 @@
         return self._reply({"alive": True}, 200)
 
     async def _ready(self, _req: web.Request) -> web.Response:
-        ready = self._handler.ready() and not self._stopping
+        ready = self._handler.ready() and not self.stopping
         return self._reply({"ready": ready}, 200 if ready else 503)
 
     async def _status(self, _req: web.Request) -> web.Response:
         return self._reply(self._handler.status(), 200)
 
     def _refuse_when_stopping(self) -> None:
-        if self._stopping:
+        if self.stopping:
             raise StoppingError(
                 "this instance is shutting down", "send the request to another instance"
             )
 
     def _reject(
-        self, request_id: str, caller: str, exc: FilbertshelfError
+        self,
+        request_id: str,
+        caller: str,
+        exc: FilbertshelfError,
+        ticketed: bool = False,
     ) -> web.Response:
         self._metrics.incr(f"rejected.{exc.code}")
         events.emit(
@@ -176,11 +181,11 @@
             code=exc.code,
             reason=exc.message if isinstance(exc, UserError) else str(exc),
         )
-        return self._reply(error_doc(request_id, exc), exc.status)
+        return self._reply(error_doc(request_id, exc, ticketed), exc.status)
 
     def _reply(self, doc: dict, status: int) -> web.Response:
         resp = web.json_response(doc, status=status)
-        if self._stopping:
+        if self.stopping:
             resp.force_close()
         return resp
 
