--- a/test/coordination/test_bookings.py
+++ b/test/coordination/test_bookings.py
@@ -31,6 +31,7 @@
     choose,
     run_month_end,
 )
+from test.history import History
 
 SEEDS = range(12)
 MUTANT_SEEDS = range(25)
@@ -296,12 +297,13 @@
 
 
 class _Scripted(Runner):
-    def __init__(self, writes, result):
-        self.writes, self.result = writes, result
+    def __init__(self, writes, result, history):
+        self.writes, self.result, self.history = writes, result, history
 
     async def run_once(self, request, ticket_id, choice, deadline, check):
         for _ in range(self.writes):
             check.before_write()
+            self.history.executed(ticket_id, 0.0, deadline)
         if isinstance(self.result, Exception):
             raise self.result
         return self.result
@@ -320,7 +322,7 @@
 )
 async def test_a_fault_of_the_runner_is_unknown(start, writes, result):
     # Guards against "not run" by a runner that lost track of what it wrote.
-    fleet = start(runner=lambda instance: _Scripted(writes, result))
+    fleet = start(runner=lambda i: _Scripted(writes, result, i.fleet.history))
     ticket = fleet.mint(0)
     for number in (0, 1):
         assert (await fleet.ask(number, ticket)).outcome is UNKNOWN
@@ -352,6 +354,6 @@
 def _real(peers, clock, rows):
     table = TicketTable(CFG, clock, peers.identity, peers.address)
     rest = SimpleNamespace(members=lambda: rows, choose=choose, check=lambda: 0.0)
-    runner = _Scripted(1, [ANSWERED])
+    runner = _Scripted(1, [ANSWERED], History())
     finals = FinalTable(clock)
     return Bookings(CFG, clock, table, finals, peers, rest, rest, runner, rest)
