Retrieve the errors of callers of a fleet with a planted fault

Their tasks were collected while pytest's summary parsed a file; the log output in between raised SystemError (AST constructor recursion depth mismatch) on 3.11.7.

--- a/test/coordination/memory_fleet.py
+++ b/test/coordination/memory_fleet.py
@@ -259,6 +259,10 @@
 
     def cancel(self) -> None:
         """End the tasks, some of which wait for processes that are gone."""
+        for task in self.callers:
+            if task.done() and not task.cancelled():
+                # Callers of a fleet with a planted fault can get errors.
+                task.exception()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
 
