--- a/test/coordination/test_targets.py
+++ b/test/coordination/test_targets.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from filbertshelf.standins.target_config import Faults
+from test.fleet import SHARDS
 
 
 async def publish(fleet, **fleet_size):
@@ -47,7 +48,7 @@
     await asyncio.sleep(0.1)
     doc = fleet.publication()
     del doc["targets"]["t0"]
-    doc["services"]["racks"]["shards"] = dict.fromkeys(("s0", "s1", "s2", "s3"), ["t1"])
+    doc["services"]["racks"]["shards"] = {shard: ["t1"] for shard in SHARDS}
     fleet.platform.publish(doc)
     status, answer = await query
     assert (status, answer["outcome"]) == (200, "whole")
--- /dev/null
+++ b/test/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of filbertshelf.protocol."""
