--- a/test/transport/test_peers.py
+++ b/test/transport/test_peers.py
@@ -290,6 +290,22 @@
     await asyncio.wait_for(client.stop(), 5.0)
 
 
+async def test_a_peer_that_reads_no_replies_loses_its_connection(start_peers):
+    # Guards against replies that pile up in the memory of the server.
+    client, server = await start_peers("a"), await start_peers("b")
+
+    async def grow(sender, msg):
+        return Echo(msg.number, bytes(MAX_FRAME_BYTES // 2))
+
+    server.register(Echo, grow)
+    await client.request(server.address, Echo(0), 1.0)
+    client._links[server.address].ws.transport.pause_reading()
+    flood = [client.request(server.address, Echo(n), 0.5) for n in range(40)]
+    results = await asyncio.gather(*flood, return_exceptions=True)
+    assert {type(result) for result in results} == {PeerTimeoutError}
+    assert not server._server.connections
+
+
 async def test_idle_connections_are_limited(start_peers):
     client = await start_peers("a")
     servers = [await start_peers(f"b{n}") for n in range(MAX_IDLE_LINKS + 3)]
