Count attempts that have not ended when a query ends as unknown

Cause: a query that ended at its deadline, at a conviction or at a new plan left its calls in flight out of its attempts, so an answer without rows said "not run" although targets had run its sub-requests. A call cancelled while it waited for a connection was written all the same. Change: calls in flight count as unknown if written, else as not run, and a cancelled call is never written. The target stand-in can cut a request before the work, delay an answer, forge its request id, echo a marker in its rows, and answers 400 to a query that it can't process instead of a 500 without a request id.

--- a/filbertshelf/coordination/scatter.py
+++ b/filbertshelf/coordination/scatter.py
@@ -452,3 +452,6 @@
             run.closed = True
             for call, target in list(run.calls.items()):
                 self._shared.targets.cancel(target, call)
+                # The call may have run. One that is not written yet never will be.
+                result = Result.UNKNOWN if call.written else Result.NOT_RUN
+                self.attempts.append(Attempt(target, result, Reason.TIMEOUT))
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -193,6 +193,8 @@
         entry = self._entries.get(name)
         if entry is not None:
             entry.link.cancel(call)
+        # A link that is being removed must not write the call either.
+        call.cancelled = True
 
     def _observe(self, entry: Entry, call: Call, attempt: Attempt) -> None:
         # The wait in the own queue says nothing about the target.
--- a/filbertshelf/standins/target.py
+++ b/filbertshelf/standins/target.py
@@ -309,6 +309,9 @@
         self, req: web.BaseRequest, request: _Request
     ) -> web.StreamResponse:
         self.counters.requests += 1
+        if self.faults.reset_on_request and req.transport is not None:
+            reset(req.transport)
+            return web.Response(status=500)
         if self.faults.fail_fast:
             self.counters.failed_fast += 1
             return self._reply(request, 500, {"message": "failed"}, Reason.TARGET_ERROR)
@@ -370,6 +373,8 @@
             ended = await self._execute(request, work)
         finally:
             self._work.release()
+        if self.faults.answer_delay_s:
+            await self._clock.sleep(self.faults.answer_delay_s)
         return self._finish(req, request, ended)
 
     async def _execute(self, request: _Request, work: Work) -> Ended:
@@ -432,7 +437,15 @@
             return self._reply(request, 499, {}, Reason.CANCELLED)
         if ended is Ended.TIMEOUT:
             return self._reply(request, 504, {}, Reason.TIMEOUT)
-        response = self._reply(request, 200, self._result(request))
+        try:
+            result = self._result(request)
+        except (AttributeError, TypeError) as exc:
+            # A query that no target can process, for example with a wrong type.
+            reason = Reason.TARGET_ERROR
+            return self._reply(request, 400, {"message": repr(exc)}, reason)
+        response = self._reply(request, 200, result)
+        if self.faults.forged_id is not None:
+            response.headers[api.REQUEST_ID] = self.faults.forged_id
         if self.faults.reset_after_bytes is not None and req.transport is not None:
             self._write_part(req.transport, response, self.faults.reset_after_bytes)
         return response
--- a/filbertshelf/standins/target_config.py
+++ b/filbertshelf/standins/target_config.py
@@ -91,6 +91,12 @@
     """Accept no connection and cut the open ones."""
     reset_after_bytes: int | None = None
     """Cut the connection after this many bytes of a response to finished work."""
+    reset_on_request: bool = False
+    """Cut the connection when a request for work has arrived, without running it."""
+    answer_delay_s: float = 0.0
+    """Hold the response to finished work back for this long; it holds no slot."""
+    forged_id: str | None = None
+    """Answer finished work with this request id instead of the true one."""
     reported_load: int | None = None
     """Report this load instead of the true one."""
     load_lag_s: float = 0.0
@@ -180,9 +186,16 @@
 def select_rows(
     rows: list[dict[str, str]], query: Mapping[str, Any]
 ) -> list[dict[str, str]]:
-    """Return the rows that a query's filter, order and limit leave."""
+    """Return the rows that a query's filter, order and limit leave.
+
+    Each row repeats the query's `marker`, if there is one.
+    """
     wanted = query.get("filter") or {}
     found = [row for row in rows if all(row.get(k) == v for k, v in wanted.items())]
+    marker = query.get("marker")
+    if marker is not None:
+        # Shows whose query a row was selected for.
+        found = [{**row, "marker": marker} for row in found]
     key = query.get("order_by", "id")
     found.sort(key=lambda row: (row.get(key, ""), row["id"]))
     return found[: query.get("limit", len(found))]
--- a/filbertshelf/transport/targets.py
+++ b/filbertshelf/transport/targets.py
@@ -13,7 +13,7 @@
 import mode
 
 from filbertshelf.clock import Clock
-from filbertshelf.errors import FilbertshelfError
+from filbertshelf.errors import FilbertshelfError, RunStoppedError
 from filbertshelf.protocol import target as api
 from filbertshelf.state.outcome import Attempt, Reason, Result
 from filbertshelf.state.plan import ShardRef
@@ -135,8 +135,8 @@
     def cancel(self, call: Call) -> None:
         """End a call whose answer is no longer wanted.
 
-        A waiting call never runs. For a running one the target is asked to stop;
-        its response is still read, so that the connection can be kept.
+        A call that is not written yet never runs. For a running one the target is
+        asked to stop; its response is still read, so that the connection can be kept.
         """
         if call.cancelled:
             return
@@ -216,7 +216,8 @@
         except TimeoutError:
             result, reason, answer = _broken(call, Reason.TIMEOUT)
         except FilbertshelfError:
-            result, reason, answer = _broken(call, Reason.PAUSED)
+            reason = Reason.CANCELLED if call.cancelled else Reason.PAUSED
+            result, reason, answer = _broken(call, reason)
         except (aiohttp.ClientError, OSError, ValueError):
             result, reason, answer = _broken(call, Reason.CONNECTION_LOST)
         except BaseException:
@@ -264,6 +265,8 @@
         call = context.trace_request_ctx
         if call is None:
             return
+        if call.cancelled:
+            raise RunStoppedError("the call was cancelled before it was written")
         call.check()
         if call.deadline <= self._clock.monotonic():
             raise TimeoutError
