Answer every bad request with a typed error

Cause: unknown paths and methods, a body with a false Content-Encoding and a fault of the program got the plain text errors of the HTTP library, without an outcome. After a body that was not read to its end the server closed the connection without saying so, and the caller's next request on it was lost. Change: a middleware types unknown paths and methods; unreadable bodies are RequestError; other exceptions are InternalError, outcome unknown; a response after an unread body says Connection: close.

--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -299,3 +299,14 @@
 
     code = "experiment_failed"
     exit_code = 69
+
+
+class PathError(RequestError):
+    """The path or the method is not one of the API for callers."""
+
+    code = "no_such_path"
+    status = 404
+
+
+class InternalError(FilbertshelfError):
+    """A fault of this program ended a request; it is unknown whether it ran."""
--- a/filbertshelf/transport/entry.py
+++ b/filbertshelf/transport/entry.py
@@ -15,6 +15,9 @@
 from filbertshelf.errors import (
     BodyTooLargeError,
     FilbertshelfError,
+    InternalError,
+    PathError,
+    RequestError,
     StoppingError,
     UserError,
 )
@@ -71,7 +74,9 @@
 
     async def on_start(self) -> None:
         """Listen on the settings' address; `address` tells the port."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._type_errors]
+        )
         app.router.add_post("/v1/query", self._query)
         app.router.add_post("/v1/bookings", self._booking)
         app.router.add_post("/v1/tickets", self._ticket)
@@ -88,6 +93,22 @@
         await self._site.start()
         self.address = self._runner.addresses[0][:2]
 
+    @web.middleware
+    async def _type_errors(
+        self,
+        req: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Answer a request that no handler takes with a typed error."""
+        try:
+            return await handler(req)
+        except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
+            exc = PathError(
+                f"{req.method} {req.path[:80]} is not in the API",
+                "use one of the paths under /v1/ with its method",
+            )
+            return self._reject("", "", exc)
+
     async def drain(self, timeout: float) -> int:
         """Stop accepting and wait for requests in flight; return how many remain.
 
@@ -130,7 +151,15 @@
             answer = await handle(request_id, parsed)
             return self._reply(answer_doc(answer), answer_status(answer))
         except FilbertshelfError as exc:
-            return self._reject(request_id, caller, exc, ticketed)
+            resp = self._reject(request_id, caller, exc, ticketed)
+            if not _fully_read(req):
+                # The server closes such a connection; a caller that is not told
+                # loses the next request that it sends on it.
+                resp.force_close()
+            return resp
+        except Exception as exc:
+            fault = InternalError(f"{exc!r:.200}: report this to the operators")
+            return self._reject(request_id, caller, fault, ticketed)
         finally:
             self._leave()
 
@@ -190,6 +219,10 @@
         return resp
 
 
+def _fully_read(req: web.Request) -> bool:
+    return req.content.is_eof() and req.content.exception() is None
+
+
 async def _read(req: web.Request) -> bytes:
     try:
         async with asyncio.timeout(READ_TIMEOUT_S):
@@ -198,6 +231,11 @@
         raise BodyTooLargeError(
             f"the body is over {MAX_BODY_BYTES} bytes", "send a smaller request"
         ) from exc
+    except (web.RequestPayloadError, ValueError, OSError) as exc:
+        raise RequestError(
+            f"the body can't be read ({exc!r:.80})",
+            "send the whole body with a true Content-Encoding and Content-Length",
+        ) from exc
     except TimeoutError as exc:
         raise UserError(
             f"the body did not arrive within {READ_TIMEOUT_S:g} s",
