--- a/test/state/test_admission.py
+++ b/test/state/test_admission.py
@@ -117,10 +117,11 @@
     for i in range(22):
         offer(queue, f"x{i}")
     queue.finished(1.0)
+    queue.finished(0.0, whole=False)
     decision = offer(queue, "late", deadline=5)
     assert decision.verdict is Verdict.REFUSED
     assert "delay" in decision.reason
-    assert 9 <= decision.delay_s <= 11
+    assert decision.delay_s == 9.5
     assert offer(queue, "in time", deadline=15).verdict is Verdict.QUEUED
     assert offer(queue, "urgent", "x", 9, deadline=5).verdict is Verdict.QUEUED
 
@@ -158,8 +159,10 @@
 def test_durations_set_by_missing_shards_do_not_lower_the_limit():
     clock = ManualClock()
     queue = AdmissionQueue(64, 10, clock)
+    limits = set()
     for i in range(200):
         offer(queue, str(i))
         clock.advance(1)
         queue.finished(0.01 if i < 20 else 2.0, whole=i < 20)
-    assert queue.limit == 64
+        limits.add(queue.limit)
+    assert len(limits) == 1
