--- a/test/promises/test_combined.py
+++ b/test/promises/test_combined.py
@@ -57,6 +57,8 @@
             self.straggle,
             self.drain,
             self.black_hole,
+            self.late_answers,
+            self.lose_shard,
             self.freeze,
             self.kill,
             self.cut,
@@ -104,6 +106,25 @@
         """Let one target answer nothing."""
         await self.faulty(black_hole=True)
 
+    async def late_answers(self):
+        """Let all targets answer later than most callers wait."""
+        await self.on_all(Faults(answer_delay_s=0.6))
+        await asyncio.sleep(0.6)
+        await self.on_all(Faults())
+
+    async def on_all(self, faults):
+        """Set the faults of all targets."""
+        for target in self.fleet.targets.values():
+            await target.set_faults(faults)
+
+    async def lose_shard(self):
+        """Let no target hold one of the shards for a while."""
+        for target in self.fleet.targets.values():
+            self.hold(target, self.version, shards=SHARDS[:-1])
+        await asyncio.sleep(0.6)
+        for target in self.fleet.targets.values():
+            self.hold(target, self.version)
+
     async def freeze(self):
         """Pause a process for longer than the threshold."""
         if self.live:
@@ -142,9 +163,9 @@
         """Let the platform serve what it served at the start."""
         await self.platform_fault(stale_at={"config": 1})
 
-    def hold(self, target, *versions):
+    def hold(self, target, *versions, shards=SHARDS):
         """Let a target hold exactly these versions."""
-        snapshots = tuple(Snapshot(f"v{n}", n, SHARDS) for n in versions)
+        snapshots = tuple(Snapshot(f"v{n}", n, shards) for n in versions)
         target.set_versions(HostedService("racks", snapshots))
 
     async def roll(self):
--- a/test/promises/test_pauses_and_partitions.py
+++ b/test/promises/test_pauses_and_partitions.py
@@ -48,8 +48,9 @@
     return (await fleet.status(name))["configuration"]["revision"]
 
 
+@pytest.mark.parametrize("platform_down", [False, True])
 async def test_a_woken_instance_answers_nothing_under_the_old_configuration(
-    fleet, processes
+    fleet, processes, platform_down
 ):
     # Guards against answers from a configuration that changed during the pause.
     await start_processes(fleet, processes)
@@ -62,6 +63,7 @@
     async with asyncio.timeout(10.0):
         while await revision(fleet, "p1") != new:
             await asyncio.sleep(0.05)
+    fleet.platform.set_faults(PlatformFaults(down=platform_down))
     # These wait in the sockets of the frozen process and are read first.
     early = [
         asyncio.create_task(callers.query("p0", deadline_ms=5000)) for _ in range(10)
@@ -196,6 +198,10 @@
     fleet.platform.set_faults(PlatformFaults(stale_at={"config": 1}))
     for name in fleet.instances:
         assert (await callers.query(name, deadline_ms=5000))["revision"] == new
+    # After a pause, an instance reads the platform again.
+    for instance in instances:
+        instance.configuration.confirm_needed()
+    await fleet.until(lambda: all(i.ready() for i in instances), 20.0)
     await asyncio.sleep(0.5)
     watching.cancel()
     with contextlib.suppress(asyncio.CancelledError):
