Reject request bodies with half a surrogate pair or another encoding

Cause: the JSON parser accepts half of a surrogate pair, which is no character. The JSON encoder of the log refuses it, so the events of such a request were lost and a serialisation failure was logged in their place. Change: bodies must be UTF-8 without half pairs; others are RequestError. Seen: event 201 of a caller 'sur\ud800x' was missing in the log file.

--- a/filbertshelf/protocol/caller.py
+++ b/filbertshelf/protocol/caller.py
@@ -97,7 +97,11 @@
             f"the body is over {MAX_BODY_BYTES} bytes", "send a smaller request"
         )
     try:
-        doc = json.loads(raw)
+        text = raw.decode()
+        doc = json.loads(text)
+        if "\\ud" in text.lower():
+            # Half a surrogate pair is no character: log lines can't hold it.
+            json.dumps(doc, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as exc:
         raise RequestError(f"the body is not JSON ({exc})", "send valid JSON") from exc
     if not isinstance(doc, Mapping):
--- a/test/promises/test_bad_input.py
+++ b/test/promises/test_bad_input.py
@@ -65,6 +65,13 @@
     "not JSON": (b"{", "bad_request"),
     "empty": (b"", "bad_request"),
     "not UTF-8": (b'{"caller": "\xe9", "query": {}}', "bad_request"),
+    "half a surrogate pair": (b'{"caller": "\\uD800", "query": {}}', "bad_request"),
+    "half a pair in a key": (b'{"caller": "a", "\\ud800": 1}', "bad_request"),
+    "half a pair in bytes": (b'{"caller": "\xed\xa0\x80", "query": {}}', "bad_request"),
+    "not UTF-8 but UTF-16": (
+        '{"caller": "a", "query": {}}'.encode("utf-16"),
+        "bad_request",
+    ),
     "a list": (b"[]", "bad_request"),
     "a long number": (b'{"urgency": ' + b"9" * 9000 + b"}", "bad_request"),
     "unknown field": (doc(colour="red"), "bad_request"),
@@ -114,11 +121,18 @@
         assert 400 <= status < 500, name
         assert ": " in error["message"], name
         (line,) = logged(log, events.REQUEST_REJECTED)
+        json.dumps(line, ensure_ascii=False, default=str).encode()
         assert (line["code"], line["request_id"]) == (code, error["request_id"])
     assert fleet.executions() == []
     await check_unharmed(fleet)
 
 
+async def test_a_whole_surrogate_pair_is_a_character(fleet):
+    await fleet.start(instances=1)
+    status, _answer = await send(fleet, b'{"caller": "\\ud83d\\ude80", "query": {}}')
+    assert status == 200
+
+
 async def test_wrong_headers_paths_and_methods_get_typed_errors(fleet, log):
     # Guards against the plain text errors of the HTTP library.
     await fleet.start()
@@ -217,6 +231,8 @@
             assert exc.remedy
             assert error_doc("r", exc, ticketed=True)["outcome"] == "not_run"
         else:
+            # A log line has to hold what the request says.
+            req.caller.encode()
             assert 1 <= req.deadline_ms <= 60_000 or req.deadline_ms == 0
             assert 0 <= req.urgency <= 9
             assert Quarantine(ManualClock(), b"key").fingerprint(("a",), req.body)
