Measure the query path and the spread of a changed entry in the package

The fake fleet of the configuration tests moves to the bench package with its measurement; the query path is measured with stub links and over HTTP to one stand-in process.

--- /dev/null
+++ b/filbertshelf/bench/query_cost.py
@@ -0,0 +1,508 @@
+"""The CPU time and memory of the query path, with stub links and with sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import random
+import statistics
+import tempfile
+import time
+import tracemalloc
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from filbertshelf import events
+from filbertshelf.bench.processes import Processes
+from filbertshelf.clock import SystemClock
+from filbertshelf.coordination.queries import Queries
+from filbertshelf.coordination.targets import Entry, Targets
+from filbertshelf.logs import LogFile
+from filbertshelf.metrics import NullMetrics
+from filbertshelf.protocol import target as api
+from filbertshelf.protocol.caller import CallerRequest
+from filbertshelf.settings import Settings
+from filbertshelf.standins.target_config import HostedService, Snapshot, TargetConfig
+from filbertshelf.standins.target_host import HostConfig, save_host_config
+from filbertshelf.state.documents import Version
+from filbertshelf.state.limits import AdaptiveLimit
+from filbertshelf.state.merge import merge_rows
+from filbertshelf.state.outcome import Attempt, Reason, Result
+from filbertshelf.state.plan import make_plan
+from filbertshelf.state.publication import Publication, Target, parse_publication
+from filbertshelf.state.quarantine import Quarantine
+from filbertshelf.state.replicas import TargetState, choose_replica
+from filbertshelf.transport.targets import Call, TargetLink
+
+SERVICE = "capacity"
+HOST = "targets"
+REPLICAS = 2
+QUOTA = 8
+# Sub-requests of one measured round; large fan-outs get fewer queries.
+ROUND_SUB_REQUESTS = 2_048
+ROUNDS = 5
+LATENCY_SAMPLES = 100
+DEADLINE_MS = 60_000
+ROWS = [
+    {"id": f"row-{i:04d}", "depot": f"depot-{i}", "state": "free"} for i in range(4)
+]
+REQUEST = CallerRequest(
+    "query", "capacity", {}, 5, DEADLINE_MS, {"text": "coat rack", "order_by": "id"}
+)
+
+
+@attrs.frozen
+class PathCost:
+    """CPU time in microseconds per sub-request at one fan-out.
+
+    `total` covers a whole query from the parsed request to the merged answer;
+    `plan`, `choose`, `log` and `merge` are parts of it, measured alone, and the rest
+    is scatter, admission, link bookkeeping and the event loop.
+    """
+
+    fan_out: int
+    total: float
+    plan: float
+    choose: float
+    log: float
+    merge: float
+
+    @property
+    def rest(self) -> float:
+        """Return the time that the four parts don't cover."""
+        return self.total - self.plan - self.choose - self.log - self.merge
+
+
+@attrs.frozen
+class SocketCost:
+    """The median of the rounds with HTTP to one stand-in process.
+
+    `cpu_us` is this process's CPU time per sub-request, without the stand-in's.
+    """
+
+    fan_out: int
+    cpu_us: float
+    query_ms: float
+
+
+@attrs.frozen
+class Latency:
+    """Median latencies in ms of one sub-request, directly and through a query."""
+
+    direct_ms: float
+    query_ms: float
+
+
+@attrs.frozen
+class MemoryCost:
+    """Bytes that are held, traced by Python; kernel buffers are not in them.
+
+    `target` is a link without connections, its state and its limit; `connection`
+    comes on top for each open connection; `sub_request` is one of a query in flight.
+    """
+
+    target: float
+    connection: float
+    sub_request: float
+
+
+class _View:
+    """A configuration that never changes."""
+
+    version = Version(1, b"")
+    ready = True
+
+    def __init__(self, publication: Publication):
+        self.publication = publication
+
+
+class _NoRates:
+    """No policy of the measurement has a rate."""
+
+    async def take(self, *_: Any) -> None:
+        """Take nothing."""
+
+
+class StubLink:
+    """Answers each call in the next pass of the event loop, or never."""
+
+    load = 0
+
+    def __init__(self, name: str, answer: Mapping[str, Any] | None):
+        self._name = name
+        self._answer = answer
+
+    def submit(self, call: Call) -> None:
+        """Answer soon, unless the link has no answer."""
+        call.queued_at = call.started_at = time.monotonic()
+        if self._answer is not None:
+            asyncio.get_running_loop().call_soon(self._finish, call)
+
+    def _finish(self, call: Call) -> None:
+        latency = time.monotonic() - call.queued_at
+        attempt = Attempt(
+            self._name, Result.ANSWERED, Reason.NONE, self._answer, latency
+        )
+        call.done(call, attempt)
+
+    def cancel(self, call: Call) -> None:
+        """Do nothing; the answer is on its way."""
+
+
+class StubTargets(Targets):
+    """Targets without sockets."""
+
+    answer: Mapping[str, Any] | None = {"rows": ROWS}
+
+    async def _add(self, target: Target, quota: int) -> None:
+        state = TargetState(target, self._clock)
+        link = StubLink(target.name, self.answer)
+        self._entries[target.name] = Entry(target, link, state, quota)
+
+
+class SilentTargets(StubTargets):
+    """Targets that never answer."""
+
+    answer = None
+
+
+def publication(shards: int, addresses: Mapping[str, str]) -> Publication:
+    """Return a publication of one service over these targets."""
+    names = list(addresses)
+    return parse_publication(
+        {
+            "fleet": {"instances": 1},
+            "services": {
+                SERVICE: {
+                    "labels": {},
+                    "index_version": "v1",
+                    "generation": 1,
+                    "shards": {
+                        f"s{i}": [
+                            names[(i + k) % len(names)]
+                            for k in range(min(REPLICAS, len(names)))
+                        ]
+                        for i in range(shards)
+                    },
+                }
+            },
+            "targets": {
+                name: {
+                    "address": address,
+                    "data_centre": "bne-1",
+                    "labels": {},
+                    "slots": QUOTA,
+                    "connections": QUOTA,
+                }
+                for name, address in addresses.items()
+            },
+            "policies": {
+                "all": {
+                    "selector": "",
+                    "services": "",
+                    "deadline_ms": DEADLINE_MS,
+                    "canary": False,
+                    "hedge": False,
+                }
+            },
+        }
+    )
+
+
+def stub_addresses(count: int) -> dict[str, str]:
+    """Return names and addresses of targets that nothing connects to."""
+    return {f"leaf-{i}": "127.0.0.1:1" for i in range(count)}
+
+
+def settings(**changes: Any) -> Settings:
+    """Return the settings of the measured instance."""
+    return Settings(
+        name="capacity",
+        data_centre="bne-1",
+        fleet_key="a key for measurements",
+        platform=("127.0.0.1", 1),
+        log_file="/dev/null",
+        **changes,
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_queries(
+    shards: int,
+    addresses: Mapping[str, str],
+    kind: type[Targets] = StubTargets,
+    cfg: Settings | None = None,
+) -> AsyncIterator[Queries]:
+    """Give the query path over these targets, with its log going to /dev/null."""
+    cfg = cfg or settings()
+    clock, metrics = SystemClock(), NullMetrics()
+    log = LogFile(cfg)
+    targets = kind(cfg, clock, random.Random(1), metrics)
+    found = publication(shards, addresses)
+    await log.start()
+    await targets.start()
+    try:
+        await targets.apply(found)
+        yield Queries(
+            cfg,
+            clock,
+            metrics,
+            _View(found),
+            targets,
+            Quarantine(clock, cfg.fleet_key.encode()),
+            _NoRates(),
+            lambda: None,
+        )
+    finally:
+        await targets.stop()
+        await log.stop()
+
+
+async def _ask(queries: Queries, number: int) -> None:
+    answer = await queries.answer(f"{number:032x}", REQUEST)
+    if answer.coverage.missing:
+        raise RuntimeError(f"the measured query missed {answer.coverage.missing[:1]}")
+
+
+def _least(call: Callable[[], object], calls: int, rounds: int) -> float:
+    """Return the least mean CPU time of a call in microseconds."""
+    best = float("inf")
+    for _ in range(rounds):
+        start = time.process_time()
+        for _ in range(calls):
+            call()
+        best = min(best, time.process_time() - start)
+    return best / calls * 1e6
+
+
+async def _path(fan_out: int, rounds: int) -> PathCost:
+    addresses = stub_addresses(max(REPLICAS, fan_out // 4))
+    queries_per_round = max(1, ROUND_SUB_REQUESTS // fan_out)
+    async with open_queries(fan_out, addresses) as queries:
+        # The first query runs a canary; later ones know that the query is harmless.
+        await _ask(queries, 0)
+        best = float("inf")
+        for _ in range(rounds):
+            start = time.process_time()
+            for number in range(queries_per_round):
+                await _ask(queries, number)
+            best = min(best, time.process_time() - start)
+        parts = _parts(queries, fan_out, queries_per_round, rounds)
+    total = best / queries_per_round / fan_out * 1e6
+    return PathCost(fan_out, total, **parts)
+
+
+def _parts(queries: Queries, fan_out: int, calls: int, rounds: int) -> dict[str, float]:
+    found = queries.publication()
+    policy = found.policies["all"]
+    plan = make_plan(found, 1, policy)
+    answers = [(SERVICE, ref.shard, {"rows": ROWS}) for ref in plan.shards]
+    states = list(queries.targets.states().values())[:REPLICAS]
+    rng = random.Random(1)
+    sub_calls = calls * fan_out
+    return {
+        "plan": _least(lambda: make_plan(found, 1, policy), calls, rounds) / fan_out,
+        "choose": _least(lambda: choose_replica(states, rng), sub_calls, rounds),
+        "log": _least(_log_line, sub_calls, rounds),
+        "merge": _least(lambda: merge_rows(answers, REQUEST.body), calls, rounds)
+        / fan_out,
+    }
+
+
+def _log_line() -> None:
+    events.emit(
+        events.REPLICA_CHOSEN,
+        request_id="0123456789abcdef0123456789abcdef",
+        service=SERVICE,
+        shard="s1",
+        target="leaf-1",
+        attempt=1,
+        reason="first attempt: lower cost of two",
+    )
+
+
+def measure_path(fan_outs: Sequence[int], rounds: int = ROUNDS) -> list[PathCost]:
+    """Return the CPU time per sub-request without sockets, the least of the rounds."""
+
+    async def measure() -> list[PathCost]:
+        return [await _path(fan_out, rounds) for fan_out in fan_outs]
+
+    return asyncio.run(measure())
+
+
+@contextlib.asynccontextmanager
+async def stand_in(shards: int, targets: int) -> AsyncIterator[dict[str, str]]:
+    """Run one process with targets that answer at once; give their addresses."""
+    names = tuple(f"s{i}" for i in range(shards))
+    hosted = HostedService(SERVICE, (Snapshot("v1", 1, names),))
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Processes(Path(folder)) as processes,
+    ):
+        cfg = HostConfig(
+            targets=tuple(
+                TargetConfig(
+                    name=f"leaf-{i}",
+                    services=(hosted,),
+                    slots=QUOTA,
+                    queue=1_000,
+                    connection_cost_ms=0.0,
+                    service_ms=0.01,
+                )
+                for i in range(targets)
+            ),
+            ready_file=str(processes.ready_file(HOST)),
+        )
+        path = Path(folder) / "targets.json"
+        save_host_config(path, cfg)
+        processes.start(HOST, "standin-target", str(path))
+        yield dict((await processes.addresses(HOST))["targets"])
+
+
+async def _sockets(
+    fan_out: int, addresses: Mapping[str, str], rounds: int
+) -> SocketCost:
+    queries_per_round = max(1, ROUND_SUB_REQUESTS // 4 // fan_out)
+    cpu, elapsed = [], []
+    async with open_queries(fan_out, addresses, Targets) as queries:
+        await _ask(queries, 0)
+        for _ in range(rounds):
+            start, start_cpu = time.monotonic(), time.process_time()
+            for number in range(queries_per_round):
+                await _ask(queries, number)
+            cpu.append(time.process_time() - start_cpu)
+            elapsed.append(time.monotonic() - start)
+    return SocketCost(
+        fan_out,
+        statistics.median(cpu) / queries_per_round / fan_out * 1e6,
+        statistics.median(elapsed) / queries_per_round * 1e3,
+    )
+
+
+async def _latency(addresses: Mapping[str, str], samples: int) -> Latency:
+    address = next(iter(addresses.values()))
+    one = {"leaf-0": address}
+    direct, through = [], []
+    async with (
+        open_queries(1, one, Targets) as queries,
+        aiohttp.ClientSession(f"http://{address}") as session,
+    ):
+        await _ask(queries, 0)
+        await _direct(session)
+        # In turns, so that other work on the machine disturbs both alike.
+        for number in range(samples):
+            start = time.monotonic()
+            await _direct(session)
+            middle = time.monotonic()
+            await _ask(queries, number)
+            direct.append(middle - start)
+            through.append(time.monotonic() - middle)
+    return Latency(1e3 * statistics.median(direct), 1e3 * statistics.median(through))
+
+
+async def _direct(session: aiohttp.ClientSession) -> None:
+    headers = {
+        "Content-Type": "application/json",
+        api.REQUEST_ID: "direct",
+        api.INDEX_VERSION: "v1",
+        api.GENERATION: "1",
+        api.DEADLINE_MS: str(DEADLINE_MS),
+    }
+    body = json.dumps({"query": dict(REQUEST.body)}).encode()
+    url = api.work_path(SERVICE, "s0", "search")
+    async with session.post(url, data=body, headers=headers) as resp:
+        json.loads(await resp.read())
+
+
+def measure_sockets(
+    fan_outs: Sequence[int],
+    targets: int = 32,
+    rounds: int = ROUNDS,
+    samples: int = LATENCY_SAMPLES,
+) -> tuple[list[SocketCost], Latency]:
+    """Return the costs over loopback to one stand-in process."""
+
+    async def measure() -> tuple[list[SocketCost], Latency]:
+        async with stand_in(max(fan_outs), targets) as addresses:
+            costs = [await _sockets(size, addresses, rounds) for size in fan_outs]
+            return costs, await _latency(addresses, samples)
+
+    return asyncio.run(measure())
+
+
+def traced() -> int:
+    """Return the bytes of all live objects that are traced."""
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0]
+
+
+def measure_memory(
+    targets: int = 32, queries: int = 20, fan_out: int = 128
+) -> MemoryCost:
+    """Return the memory of targets, connections and queries in flight."""
+    return asyncio.run(_memory(targets, queries, fan_out))
+
+
+async def _memory(targets: int, queries: int, fan_out: int) -> MemoryCost:
+    async with stand_in(fan_out, targets) as addresses:
+        tracemalloc.start()
+        try:
+            target, connection = await _target_bytes(addresses)
+            sub_request = await _query_bytes(queries, fan_out) / queries / fan_out
+        finally:
+            tracemalloc.stop()
+    return MemoryCost(target, connection, sub_request)
+
+
+async def _target_bytes(addresses: Mapping[str, str]) -> tuple[float, float]:
+    """Return the bytes of a target with a full latency window, and a connection's."""
+    clock = SystemClock()
+    entries = []
+    before = traced()
+    for target in publication(1, addresses).targets.values():
+        limit = AdaptiveLimit(target.slots, QUOTA, clock)
+        link = TargetLink(
+            target.name, target.address, QUOTA, clock, limit, lambda _: None
+        )
+        state = TargetState(target, clock)
+        for _ in range(100):
+            state.started()
+            state.finished(Result.ANSWERED, Reason.NONE, 0.005)
+        entries.append(Entry(target, link, state, QUOTA))
+        await link.start()
+    made = traced()
+    for entry in entries:
+        await entry.link.warm_up()
+    opened = traced()
+    for entry in entries:
+        await entry.link.stop()
+    count = len(entries)
+    return (made - before) / count, (opened - made) / count / QUOTA
+
+
+async def _query_bytes(queries: int, fan_out: int) -> int:
+    addresses = stub_addresses(fan_out)
+    async with open_queries(fan_out, addresses, SilentTargets) as path:
+        before = traced()
+        tasks = [
+            asyncio.create_task(path.answer(f"{n:032x}", _request(n)))
+            for n in range(queries)
+        ]
+        # One pass starts the tasks; the canary is answered by hand, if there is one.
+        for _ in range(5):
+            await asyncio.sleep(0)
+        after = traced()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return after - before
+
+
+def _request(number: int) -> CallerRequest:
+    return attrs.evolve(REQUEST, body={"text": f"coat rack {number}"})
--- /dev/null
+++ b/filbertshelf/bench/spread.py
@@ -0,0 +1,159 @@
+"""The spread of one changed entry over a fleet with a fake network and platform."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import tracemalloc
+from typing import Any
+
+import attrs
+
+from filbertshelf.bench.configuration_fleet import Fleet
+from filbertshelf.coordination.store import Store
+from filbertshelf.protocol.configuration import Change
+from filbertshelf.protocol.messages import encode
+from filbertshelf.protocol.platform import PlatformDocument
+from filbertshelf.state.documents import NO_VERSION
+
+LATENCY_S = 0.0015
+IDLE_S = 10
+CPU_ROUNDS = 5
+
+
+@attrs.frozen
+class SpreadCost:
+    """The cost of one changed entry in a fleet of `nodes`.
+
+    Bytes are those of the encoded messages that a node receives, without WebSocket
+    and TCP headers. `one_way_trips` is the time from the first node that holds the
+    change to the last one, in units of the network's latency. `calls_per_s` is the
+    platform calls of the whole fleet while nothing changes.
+    """
+
+    nodes: int
+    mean_bytes: float
+    most_bytes: int
+    one_way_trips: float
+    idle_bytes_per_s: float
+    calls_per_s: float
+
+
+@attrs.frozen
+class StoreCost:
+    """The cost of one changed entry in a publication of `entries`; CPU in ms.
+
+    `accept` takes the document of the platform, `delta` makes the change for a peer
+    and `apply` takes it from a peer; both `accept` and `apply` parse and check the
+    whole publication. Memory is that of one store.
+    """
+
+    entries: int
+    accept_ms: float
+    delta_ms: float
+    apply_ms: float
+    delta_bytes: int
+    whole_bytes: int
+    held_bytes: int
+
+
+def publication(entries: int, changed: int = 0) -> dict[str, Any]:
+    """Return a publication of that many targets, the first of them changed."""
+    targets: dict[str, dict[str, Any]] = {
+        f"target-{i:04}": {
+            "address": f"10.{i // 250}.0.{i % 250 + 1}:8000",
+            "data_centre": f"bne-{i % 3 + 1}",
+            "labels": {"tier": "leaf", "group": f"g{i % 40}"},
+            "slots": 6,
+            "connections": 250,
+        }
+        for i in range(entries - 1)
+    }
+    targets["target-0000"]["slots"] += changed
+    return {"fleet": {"instances": 100}, "targets": targets}
+
+
+def measure_spread(nodes: int, entries: int = 100) -> SpreadCost:
+    """Return the cost of one changed entry in a fleet of that many nodes."""
+    return asyncio.run(_spread(nodes, entries))
+
+
+def _received(fleet: Fleet, *without: str) -> list[int]:
+    return [
+        sum(size for name, size in node.received.items() if name not in without)
+        for node in fleet.nodes.values()
+    ]
+
+
+async def _spread(nodes: int, entries: int) -> SpreadCost:
+    fleet = Fleet(latency=LATENCY_S)
+    fleet.platform.publish(1, publication(entries))
+    await fleet.add(nodes)
+    await fleet.run(30, lambda: fleet.ready() and fleet.at(1) == nodes)
+    # By then the watchers have settled.
+    await fleet.run(12)
+    before, calls = _received(fleet), fleet.platform.calls
+    await fleet.run(IDLE_S)
+    idle = sum(_received(fleet)) - sum(before)
+    idle_calls = fleet.platform.calls - calls
+    before = _received(fleet, "payload")
+    fleet.platform.publish(2, publication(entries, 1))
+    await fleet.run(8, lambda: fleet.at(2) > 0, LATENCY_S)
+    took = await fleet.run(8, lambda: fleet.at(2) == nodes, LATENCY_S)
+    # Until all have it, the last offers and replies are still under way.
+    await fleet.run(0.1, step=LATENCY_S)
+    pairs = zip(before, _received(fleet, "payload"), strict=True)
+    change = [after - first for first, after in pairs]
+    await fleet.stop()
+    return SpreadCost(
+        nodes,
+        sum(change) / nodes,
+        max(change),
+        took / LATENCY_S,
+        idle / IDLE_S / nodes,
+        idle_calls / IDLE_S,
+    )
+
+
+def measure_store(entries: int, rounds: int = CPU_ROUNDS) -> StoreCost:
+    """Return the CPU time and memory of a publication of that many entries."""
+    documents = [
+        PlatformDocument(i, publication(entries, i)) for i in range(rounds + 1)
+    ]
+    store, peer = Store(), Store()
+    store.from_platform("config", documents[0])
+    whole = store.change_since("config", NO_VERSION)
+    peer.from_peer("config", whole, "peer")
+    accepts, deltas, applies = [], [], []
+    for document in documents[1:]:
+        start = time.process_time()
+        store.from_platform("config", document)
+        accepted = time.process_time()
+        delta = store.change_since("config", peer.version("config"))
+        made = time.process_time()
+        peer.from_peer("config", delta, "peer")
+        accepts.append(accepted - start)
+        deltas.append(made - accepted)
+        applies.append(time.process_time() - made)
+    return StoreCost(
+        entries,
+        # Other work on the machine only adds to the CPU time.
+        1000 * min(accepts),
+        1000 * min(deltas),
+        1000 * min(applies),
+        len(encode(Change.of("config", delta))),
+        len(encode(Change.of("config", whole))),
+        _held_bytes(documents[0]),
+    )
+
+
+def _held_bytes(document: PlatformDocument) -> int:
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        store = Store()
+        store.from_platform("config", document)
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return after - before
--- a/test/coordination/test_configuration.py
+++ b/test/coordination/test_configuration.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from filbertshelf.bench.configuration_fleet import Fleet
 from filbertshelf.errors import PublicationError
 from filbertshelf.protocol.platform import PlatformDocument
 from filbertshelf.state.documents import encode_entries
 from filbertshelf.state.watchers import choose_watchers
-from test.coordination.configuration_fleet import Fleet
 
 
 def content(number, extra=0):
