Add the capacity command: what each part costs at several sizes

One command prints the table from which the capacity page is extrapolated: membership, configuration, spread, query path, bookings, decisions, refusals and shared frames.

--- /dev/null
+++ b/filbertshelf/bench/booking_cost.py
@@ -0,0 +1,88 @@
+"""The memory and the hand-off of the ticket table."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+
+import attrs
+
+from filbertshelf.bench.query_cost import settings, traced
+from filbertshelf.clock import SystemClock
+from filbertshelf.protocol.bookings import handoff_message
+from filbertshelf.protocol.messages import encode
+from filbertshelf.state.members import Identity
+from filbertshelf.state.tickets import FinalTable, TableLimits, TicketTable
+
+DIGEST_BYTES = 32
+# The size of an encoded answer to a booking of one shard.
+OUTCOME_BYTES = 247
+
+
+@attrs.frozen
+class BookingCost:
+    """The cost of a table with `records` finished bookings, per record.
+
+    `record` is the owner's memory in bytes, `final_record` that of a peer which holds
+    the table; `handoff` is bytes of the encoded message. CPU times are in us: mint,
+    begin and finish together, and export with encoding.
+    """
+
+    records: int
+    record: float
+    final_record: float
+    handoff: float
+    run_us: float
+    export_us: float
+
+
+def measure_bookings(records: int) -> BookingCost:
+    """Return the cost per record of a table of that size."""
+    clock = SystemClock()
+    identity = Identity.start("capacity", "bne-1", clock)
+    limits = TableLimits(records=records, outcome_bytes=records * OUTCOME_BYTES + 1)
+    tables = []
+    for _ in range(2):
+        address = ("127.0.0.1", 1)
+        tables.append(TicketTable(settings(), clock, identity, address, limits))
+    run = _fill(tables[0], records)
+    tracemalloc.start()
+    try:
+        before = traced()
+        _fill(tables[1], records)
+        filled = traced()
+        start = time.process_time()
+        tables[1].close()
+        export = tables[1].export()
+        message = encode(handoff_message(export, 0, 1))
+        exported = time.process_time() - start
+        peer = FinalTable(clock)
+        held = traced()
+        # The peer gets copies of the outcomes, not the owner's objects.
+        copies = tuple(
+            attrs.evolve(rec, outcome=bytes(bytearray(rec.outcome)))
+            for rec in export.records
+        )
+        peer.add(attrs.evolve(export, records=copies))
+        del copies
+        final = traced()
+    finally:
+        tracemalloc.stop()
+    return BookingCost(
+        records,
+        (filled - before) / records,
+        (final - held) / records,
+        len(message) / records,
+        run / records * 1e6,
+        exported / records * 1e6,
+    )
+
+
+def _fill(table: TicketTable, records: int) -> float:
+    """Run that many tickets and return the CPU time in seconds."""
+    start = time.process_time()
+    for number in range(records):
+        ticket = table.mint()
+        table.begin(ticket, number.to_bytes(DIGEST_BYTES, "big"))
+        table.finish(ticket, number.to_bytes(OUTCOME_BYTES, "big"))
+    return time.process_time() - start
--- /dev/null
+++ b/filbertshelf/bench/capacity.py
@@ -0,0 +1,236 @@
+"""The costs of each part at several sizes, and what they come to at design scale."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+import attrs
+
+from filbertshelf.bench import decisions, membership
+from filbertshelf.bench.booking_cost import BookingCost, measure_bookings
+from filbertshelf.bench.decisions import DecisionCosts
+from filbertshelf.bench.frame_cost import FrameCost, measure_frames
+from filbertshelf.bench.membership import MembershipCost
+from filbertshelf.bench.query_cost import (
+    Latency,
+    MemoryCost,
+    PathCost,
+    SocketCost,
+    measure_memory,
+    measure_path,
+    measure_sockets,
+)
+from filbertshelf.bench.refusal_cost import RefusalCost, measure_refusals
+from filbertshelf.bench.spread import (
+    SpreadCost,
+    StoreCost,
+    measure_spread,
+    measure_store,
+)
+
+
+@attrs.frozen(kw_only=True)
+class CapacityConfig:
+    """The sizes at which the parts are measured; the defaults take about 80 s.
+
+    The membership runs with a short probe period, so that a short measurement holds
+    many periods; its costs are given per second at a period of 1 s.
+    """
+
+    members: Sequence[int] = (10, 40, 100)
+    member_seconds: float = 5.0
+    member_period: float = 0.25
+    entries: Sequence[int] = (500, 1_000, 2_000)
+    spread_nodes: Sequence[int] = (20, 100, 410)
+    fan_outs: Sequence[int] = (8, 32, 128, 512)
+    refusal_fan_outs: tuple[int, ...] = (8, 32, 128)
+    targets: int = 32
+    frames: Sequence[int] = (1, 10, 100)
+    records: Sequence[int] = (1_000, 2_000, 4_000)
+    decision_calls: int = 10_000
+    rounds: int = 5
+
+
+SMOKE = CapacityConfig(
+    members=(2,),
+    member_seconds=0.1,
+    member_period=0.02,
+    entries=(20,),
+    spread_nodes=(4,),
+    fan_outs=(2, 4),
+    refusal_fan_outs=(2,),
+    targets=2,
+    frames=(1, 10),
+    records=(10,),
+    decision_calls=10,
+    rounds=1,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Costs:
+    """All that one run measured."""
+
+    members: Sequence[MembershipCost]
+    stores: Sequence[StoreCost]
+    spreads: Sequence[SpreadCost]
+    paths: Sequence[PathCost]
+    sockets: Sequence[SocketCost]
+    latency: Latency
+    memory: MemoryCost
+    bookings: Sequence[BookingCost]
+    decisions: DecisionCosts
+    refusals: Sequence[RefusalCost]
+    frames: Sequence[FrameCost]
+
+
+@attrs.frozen
+class Row:
+    """One line of the table; a size of 0 means that there is none."""
+
+    part: str
+    measure: str
+    size: int
+    value: float
+    unit: str
+
+
+def measure(
+    cfg: CapacityConfig, progress: Callable[[str], None] = lambda text: None
+) -> Costs:
+    """Run all measurements one after the other; `progress` gets the part's name."""
+    progress("membership")
+    members = [
+        _per_second(
+            membership.measure(size, cfg.member_seconds, cfg.member_period),
+            cfg.member_period,
+        )
+        for size in cfg.members
+    ]
+    progress("configuration")
+    stores = [measure_store(size, cfg.rounds) for size in cfg.entries]
+    spreads = [measure_spread(size) for size in cfg.spread_nodes]
+    progress("query path")
+    paths = measure_path(cfg.fan_outs, cfg.rounds)
+    sockets, latency = measure_sockets(cfg.fan_outs, cfg.targets, cfg.rounds)
+    memory = measure_memory(cfg.targets)
+    progress("bookings")
+    bookings = [measure_bookings(size) for size in cfg.records]
+    progress("decisions")
+    costs = decisions.measure(cfg.decision_calls)
+    progress("refusals")
+    refusals = measure_refusals(cfg.refusal_fan_outs, cfg.rounds)
+    progress("frames")
+    frames = [measure_frames(size, rounds=cfg.rounds) for size in cfg.frames]
+    return Costs(
+        members=members,
+        stores=stores,
+        spreads=spreads,
+        paths=paths,
+        sockets=sockets,
+        latency=latency,
+        memory=memory,
+        bookings=bookings,
+        decisions=costs,
+        refusals=refusals,
+        frames=frames,
+    )
+
+
+def _per_second(cost: MembershipCost, period: float) -> MembershipCost:
+    """Return the cost at a probe period of 1 s."""
+    return attrs.evolve(
+        cost,
+        bytes_per_s=cost.bytes_per_s * period,
+        frames_per_s=cost.frames_per_s * period,
+        connects_per_s=cost.connects_per_s * period,
+        cpu_share=cost.cpu_share * period,
+    )
+
+
+def rows(costs: Costs) -> list[Row]:
+    """Return the lines of the table."""
+    found = [
+        *_rows("membership", costs.members, "members", _MEMBER_UNITS),
+        *_rows("configuration", costs.stores, "entries", _STORE_UNITS),
+        *_rows("spread", costs.spreads, "nodes", _SPREAD_UNITS),
+        *_rows("query, stub links", costs.paths, "fan_out", _PATH_UNITS),
+        *_rows("query, HTTP", costs.sockets, "fan_out", _SOCKET_UNITS),
+        *_rows("latency", [costs.latency], "", _LATENCY_UNITS),
+        *_rows("memory", [costs.memory], "", _MEMORY_UNITS),
+        *_rows("bookings", costs.bookings, "records", _BOOKING_UNITS),
+        *_rows("decisions", [costs.decisions], "", _DECISION_UNITS),
+        *_rows("refusal, HTTP", costs.refusals, "fan_out", _REFUSAL_UNITS),
+        *_rows("shared frame", costs.frames, "sub_requests", _FRAME_UNITS),
+    ]
+    return found
+
+
+def _rows(
+    part: str, costs: Iterable[object], size: str, units: dict[str, str]
+) -> list[Row]:
+    return [
+        Row(part, name, getattr(cost, size, 0), float(getattr(cost, name)), unit)
+        for name, unit in units.items()
+        for cost in costs
+    ]
+
+
+_US = "us CPU"
+_MEMBER_UNITS = {
+    "bytes_per_s": "B/s per node",
+    "frames_per_s": "frames/s per node",
+    "connects_per_s": "connects/s per node",
+    "cpu_share": "cores per node",
+    "seen_least": "members seen",
+}
+_STORE_UNITS = {
+    "accept_ms": "ms CPU",
+    "delta_ms": "ms CPU",
+    "apply_ms": "ms CPU",
+    "delta_bytes": "B",
+    "whole_bytes": "B",
+    "held_bytes": "B",
+}
+_SPREAD_UNITS = {
+    "mean_bytes": "B per node and change",
+    "most_bytes": "B at one node",
+    "one_way_trips": "one-way trips",
+    "idle_bytes_per_s": "B/s per node",
+    "calls_per_s": "platform calls/s",
+}
+_PATH_UNITS = dict.fromkeys(("total", "plan", "choose", "log", "merge", "rest"), _US)
+_SOCKET_UNITS = {"cpu_us": _US, "query_ms": "ms"}
+_LATENCY_UNITS = {"direct_ms": "ms median", "query_ms": "ms median"}
+_MEMORY_UNITS = dict.fromkeys(("target", "connection", "sub_request"), "B")
+_BOOKING_UNITS = {
+    "record": "B",
+    "final_record": "B",
+    "handoff": "B",
+    "run_us": _US,
+    "export_us": _US,
+}
+_DECISION_UNITS = dict.fromkeys(
+    (field.name for field in attrs.fields(DecisionCosts)), _US
+)
+_REFUSAL_UNITS = dict.fromkeys(("refusal", "stub_answer", "answer"), _US)
+_FRAME_UNITS = {
+    "codec": _US,
+    "both_ends": _US,
+    "bytes_each": "B",
+}
+
+
+def render(lines: Sequence[Row]) -> str:
+    """Return the table as aligned text."""
+    cells = [
+        (row.part, row.measure, str(row.size or "-"), f"{row.value:.4g}", row.unit)
+        for row in lines
+    ]
+    cells.insert(0, ("part", "measure", "size", "value", "unit"))
+    widths = [max(len(line[i]) for line in cells) for i in range(5)]
+    return "\n".join(
+        f"{part:<{widths[0]}}  {name:<{widths[1]}}  {size:>{widths[2]}}  "
+        f"{value:>{widths[3]}}  {unit}"
+        for part, name, size, value, unit in cells
+    )
--- /dev/null
+++ b/filbertshelf/bench/frame_cost.py
@@ -0,0 +1,91 @@
+"""The cost of sub-requests that share a frame between two instances.
+
+The second hop is not part of the query path yet; this measures what its frames would
+cost, without the choice of replicas and the exchange with the targets behind it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import attrs
+import cbor2
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+
+from filbertshelf.bench.query_cost import DEADLINE_MS, REQUEST, ROWS, SERVICE
+
+ROUNDS = 5
+SUB_REQUESTS = 5_000
+
+
+@attrs.frozen
+class FrameCost:
+    """CPU time in microseconds per sub-request with so many of them in a frame.
+
+    `codec` is encode and decode of the request and the reply; `both_ends` is the
+    whole exchange over a websocket, of the sender and the receiver together. Bytes
+    are those of the request and the reply.
+    """
+
+    sub_requests: int
+    codec: float
+    both_ends: float
+    bytes_each: float
+
+
+def request_frame(count: int) -> list[Any]:
+    """Return a frame with that many sub-requests of different queries."""
+    return [
+        [f"{i:032x}.{i}.1", SERVICE, f"s{i}", "v1", 1, DEADLINE_MS, dict(REQUEST.body)]
+        for i in range(count)
+    ]
+
+
+def reply_frame(request: list[Any]) -> list[Any]:
+    """Return the frame that answers the sub-requests, each with a few rows."""
+    return [[sub[0], sub[3], sub[4], 0, {"rows": ROWS}] for sub in request]
+
+
+def measure_frames(
+    count: int, sub_requests: int = SUB_REQUESTS, rounds: int = ROUNDS
+) -> FrameCost:
+    """Return the cost of frames with `count` sub-requests, the least of the rounds."""
+    frames = max(1, sub_requests // count)
+    request = request_frame(count)
+    reply = reply_frame(request)
+    size = len(cbor2.dumps(request)) + len(cbor2.dumps(reply))
+    codec = min(_codec(request, reply, frames) for _ in range(rounds))
+    both = asyncio.run(_exchange(request, frames, rounds))
+    total = frames * count
+    return FrameCost(count, codec / total * 1e6, both / total * 1e6, size / count)
+
+
+def _codec(request: list[Any], reply: list[Any], frames: int) -> float:
+    start = time.process_time()
+    for _ in range(frames):
+        cbor2.loads(cbor2.dumps(request))
+        cbor2.loads(cbor2.dumps(reply))
+    return time.process_time() - start
+
+
+async def _answer(ws: ServerConnection) -> None:
+    async for data in ws:
+        await ws.send(cbor2.dumps(reply_frame(cbor2.loads(data))))
+
+
+async def _exchange(request: list[Any], frames: int, rounds: int) -> float:
+    """Return the least CPU time of the frames, of both ends in this process."""
+    best = float("inf")
+    async with serve(_answer, "127.0.0.1", 0, compression=None) as server:
+        host, port = server.sockets[0].getsockname()
+        async with connect(f"ws://{host}:{port}", compression=None) as ws:
+            for _ in range(rounds):
+                start = time.process_time()
+                for _ in range(frames):
+                    await ws.send(cbor2.dumps(request))
+                    cbor2.loads(await ws.recv())
+                best = min(best, time.process_time() - start)
+    return best
--- /dev/null
+++ b/filbertshelf/bench/refusal_cost.py
@@ -0,0 +1,134 @@
+"""The CPU time of a refusal against that of an answer, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import statistics
+import time
+from collections.abc import Mapping
+
+import attrs
+
+from filbertshelf.bench.query_cost import (
+    DEADLINE_MS,
+    REQUEST,
+    StubTargets,
+    open_queries,
+    settings,
+    stand_in,
+    stub_addresses,
+)
+from filbertshelf.coordination.queries import Queries
+from filbertshelf.coordination.targets import Targets
+from filbertshelf.metrics import NullMetrics
+from filbertshelf.protocol.caller import CallerRequest
+from filbertshelf.state.outcome import Answer
+from filbertshelf.transport.entry import EntryServer
+
+ROUNDS = 5
+REFUSALS = 200
+TARGETS = 32
+
+
+@attrs.frozen
+class RefusalCost:
+    """CPU time in us of the server's thread, the median of the rounds.
+
+    `stub_answer` is an answer with links that answer at once, `answer` one over HTTP
+    to targets in another process.
+    """
+
+    fan_out: int
+    refusal: float
+    stub_answer: float
+    answer: float
+
+
+class _Handler:
+    """The part of an instance that queries need."""
+
+    def __init__(self, queries: Queries):
+        self._queries = queries
+
+    async def query(self, request_id: str, req: CallerRequest) -> Answer:
+        """Return the answer to a query."""
+        return await self._queries.answer(request_id, req)
+
+
+def measure_refusals(
+    fan_outs: tuple[int, ...], rounds: int = ROUNDS
+) -> list[RefusalCost]:
+    """Return the costs at each fan-out."""
+    return asyncio.run(_measure(fan_outs, rounds))
+
+
+async def _measure(fan_outs: tuple[int, ...], rounds: int) -> list[RefusalCost]:
+    found = []
+    async with stand_in(max(fan_outs), TARGETS) as addresses:
+        for fan_out in fan_outs:
+            stubs = stub_addresses(TARGETS)
+            refusal, stub_answer = await _serve(fan_out, stubs, StubTargets, rounds)
+            _, answer = await _serve(fan_out, addresses, Targets, rounds)
+            found.append(RefusalCost(fan_out, refusal, stub_answer, answer))
+    return found
+
+
+async def _serve(
+    fan_out: int, addresses: Mapping[str, str], kind: type[Targets], rounds: int
+) -> tuple[float, float]:
+    """Return the cost of a refusal and of an answer."""
+    cfg = settings(max_queries=1, max_queued=1)
+    async with open_queries(fan_out, addresses, kind, cfg) as queries:
+        entry = EntryServer(cfg, _Handler(queries), NullMetrics())
+        await entry.start()
+        try:
+            calls = max(1, 1_024 // fan_out)
+            answers = await _requests(entry, 200, calls, rounds)
+            refusals = await _refuse(queries, entry, rounds)
+        finally:
+            await entry.stop()
+    return refusals, answers
+
+
+async def _refuse(queries: Queries, entry: EntryServer, rounds: int) -> float:
+    """Return the cost of a refusal while the only place and the queue are taken."""
+    deadline = time.monotonic() + DEADLINE_MS
+    await queries.admission.acquire("runs", "holder", 9, deadline)
+    waiting = asyncio.create_task(
+        queries.admission.acquire("waits", "holder", 9, deadline)
+    )
+    await asyncio.sleep(0)
+    try:
+        return await _requests(entry, 429, REFUSALS, rounds)
+    finally:
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+
+
+async def _requests(entry: EntryServer, status: int, calls: int, rounds: int) -> float:
+    """Return the server thread's CPU time per request; the client has its own."""
+    await asyncio.to_thread(_send, entry.address, status, 1)
+    costs = []
+    for _ in range(rounds):
+        start = time.thread_time()
+        await asyncio.to_thread(_send, entry.address, status, calls)
+        costs.append(time.thread_time() - start)
+    return statistics.median(costs) / calls * 1e6
+
+
+def _send(address: tuple[str, int], status: int, calls: int) -> None:
+    doc = {"caller": REQUEST.caller, "query": dict(REQUEST.body)}
+    body = json.dumps(doc).encode()
+    headers = {"Content-Type": "application/json"}
+    conn = http.client.HTTPConnection(*address, timeout=DEADLINE_MS / 1000)
+    try:
+        for _ in range(calls):
+            conn.request("POST", "/v1/query", body, headers)
+            resp = conn.getresponse()
+            resp.read()
+            if resp.status != status:
+                raise RuntimeError(f"status {resp.status} instead of {status}")
+    finally:
+        conn.close()
--- a/filbertshelf/commands/main.py
+++ b/filbertshelf/commands/main.py
@@ -10,6 +10,7 @@
 from filbertshelf import __version__
 from filbertshelf.commands import (
     bench,
+    capacity,
     check,
     demo,
     explain,
@@ -19,7 +20,7 @@
 )
 from filbertshelf.errors import FilbertshelfError
 
-MODULES = (instance, check, match, explain, demo, bench, standins)
+MODULES = (instance, check, match, explain, demo, bench, capacity, standins)
 
 
 def make_parser() -> argparse_flags.ArgumentParser:
