Measure on uvloop, on which the daemons run

The measurements used asyncio's own loop. The membership is measured with its real probe period, in its own processes: with a period of 0.25 s a fleet of 100 did not settle.

--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import concurrent.futures
+import multiprocessing
 from collections.abc import Callable, Iterable, Sequence
 
 import attrs
+import eliot
 
 from filbertshelf.bench import decisions, membership
 from filbertshelf.bench.booking_cost import BookingCost, measure_bookings
@@ -28,18 +31,21 @@
     measure_store,
 )
 
+# The machine has other work to do.
+MAX_PROCESSES = 4
+
 
 @attrs.frozen(kw_only=True)
 class CapacityConfig:
     """The sizes at which the parts are measured; the defaults take about 80 s.
 
-    The membership runs with a short probe period, so that a short measurement holds
-    many periods; its costs are given per second at a period of 1 s.
+    The membership needs its real probe period: with a shorter one the connections to
+    new members take too large a share of the time and the fleet doesn't settle.
     """
 
     members: Sequence[int] = (10, 40, 100)
-    member_seconds: float = 5.0
-    member_period: float = 0.25
+    member_seconds: float = 10.0
+    member_period: float = 1.0
     entries: Sequence[int] = (500, 1_000, 2_000)
     spread_nodes: Sequence[int] = (20, 100, 410)
     fan_outs: Sequence[int] = (8, 32, 128, 512)
@@ -99,17 +105,9 @@
     cfg: CapacityConfig, progress: Callable[[str], None] = lambda text: None
 ) -> Costs:
     """Run all measurements one after the other; `progress` gets the part's name."""
-    progress("membership")
-    members = [
-        _per_second(
-            membership.measure(size, cfg.member_seconds, cfg.member_period),
-            cfg.member_period,
-        )
-        for size in cfg.members
-    ]
-    progress("configuration")
+    progress("membership and configuration")
+    members, spreads = _in_processes(cfg)
     stores = [measure_store(size, cfg.rounds) for size in cfg.entries]
-    spreads = [measure_spread(size) for size in cfg.spread_nodes]
     progress("query path")
     paths = measure_path(cfg.fan_outs, cfg.rounds)
     sockets, latency = measure_sockets(cfg.fan_outs, cfg.targets, cfg.rounds)
@@ -137,15 +135,29 @@
     )
 
 
-def _per_second(cost: MembershipCost, period: float) -> MembershipCost:
-    """Return the cost at a probe period of 1 s."""
-    return attrs.evolve(
-        cost,
-        bytes_per_s=cost.bytes_per_s * period,
-        frames_per_s=cost.frames_per_s * period,
-        connects_per_s=cost.connects_per_s * period,
-        cpu_share=cost.cpu_share * period,
-    )
+def _in_processes(
+    cfg: CapacityConfig,
+) -> tuple[list[MembershipCost], list[SpreadCost]]:
+    """Return the costs that need long runs, each measured in its own process."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(
+        MAX_PROCESSES, context, initializer=drop_logs
+    ) as pool:
+        members = [
+            pool.submit(membership.measure, size, cfg.member_seconds, cfg.member_period)
+            for size in cfg.members
+        ]
+        spreads = [pool.submit(measure_spread, size) for size in cfg.spread_nodes]
+        return [f.result() for f in members], [f.result() for f in spreads]
+
+
+def drop_logs() -> None:
+    """Drop log messages; without a destination eliot would keep them in memory."""
+    eliot.add_destinations(_drop)
+
+
+def _drop(_message: dict) -> None:
+    pass
 
 
 def rows(costs: Costs) -> list[Row]:
--- a/filbertshelf/bench/frame_cost.py
+++ b/filbertshelf/bench/frame_cost.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import Any
 
 import attrs
 import cbor2
+import uvloop
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection, serve
 
@@ -58,7 +58,7 @@
     reply = reply_frame(request)
     size = len(cbor2.dumps(request)) + len(cbor2.dumps(reply))
     codec = min(_codec(request, reply, frames) for _ in range(rounds))
-    both = asyncio.run(_exchange(request, frames, rounds))
+    both = uvloop.run(_exchange(request, frames, rounds))
     total = frames * count
     return FrameCost(count, codec / total * 1e6, both / total * 1e6, size / count)
 
--- a/filbertshelf/bench/membership.py
+++ b/filbertshelf/bench/membership.py
@@ -7,6 +7,7 @@
 import time
 
 import attrs
+import uvloop
 
 from filbertshelf.clock import SystemClock
 from filbertshelf.coordination.membership import Membership
@@ -117,4 +118,4 @@
     `seconds` is the measured time after the start has settled; `period` is the probe
     period in seconds.
     """
-    return asyncio.run(_run(members, seconds, period))
+    return uvloop.run(_run(members, seconds, period))
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 import attrs
+import uvloop
 
 from filbertshelf import events
 from filbertshelf.bench.processes import Processes
@@ -333,7 +334,7 @@
     async def measure() -> list[PathCost]:
         return [await _path(fan_out, rounds) for fan_out in fan_outs]
 
-    return asyncio.run(measure())
+    return uvloop.run(measure())
 
 
 @contextlib.asynccontextmanager
@@ -433,7 +434,7 @@
             costs = [await _sockets(size, addresses, rounds) for size in fan_outs]
             return costs, await _latency(addresses, samples)
 
-    return asyncio.run(measure())
+    return uvloop.run(measure())
 
 
 def traced() -> int:
@@ -446,7 +447,7 @@
     targets: int = 32, queries: int = 20, fan_out: int = 128
 ) -> MemoryCost:
     """Return the memory of targets, connections and queries in flight."""
-    return asyncio.run(_memory(targets, queries, fan_out))
+    return uvloop.run(_memory(targets, queries, fan_out))
 
 
 async def _memory(targets: int, queries: int, fan_out: int) -> MemoryCost:
--- a/filbertshelf/bench/refusal_cost.py
+++ b/filbertshelf/bench/refusal_cost.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 import attrs
+import uvloop
 
 from filbertshelf.bench.query_cost import (
     DEADLINE_MS,
@@ -61,7 +62,7 @@
     fan_outs: tuple[int, ...], rounds: int = ROUNDS
 ) -> list[RefusalCost]:
     """Return the costs at each fan-out."""
-    return asyncio.run(_measure(fan_outs, rounds))
+    return uvloop.run(_measure(fan_outs, rounds))
 
 
 async def _measure(fan_outs: tuple[int, ...], rounds: int) -> list[RefusalCost]:
--- a/filbertshelf/commands/capacity.py
+++ b/filbertshelf/commands/capacity.py
@@ -6,9 +6,14 @@
 import sys
 import time
 
-import eliot
-
-from filbertshelf.bench.capacity import SMOKE, CapacityConfig, measure, render, rows
+from filbertshelf.bench.capacity import (
+    SMOKE,
+    CapacityConfig,
+    drop_logs,
+    measure,
+    render,
+    rows,
+)
 
 
 def add(subparsers: argparse._SubParsersAction) -> None:
@@ -25,20 +30,12 @@
 def run(args: argparse.Namespace) -> int:
     """Run the measurements and print the table."""
     start = time.monotonic()
-    # Without a destination eliot keeps messages in memory and would be measured so.
-    eliot.add_destinations(_drop)
-    try:
-        costs = measure(SMOKE if args.smoke else CapacityConfig(), _progress)
-    finally:
-        eliot.remove_destination(_drop)
+    drop_logs()
+    costs = measure(SMOKE if args.smoke else CapacityConfig(), _progress)
     print(render(rows(costs)))
     print(f"\n{time.monotonic() - start:.0f} s")
     return 0
 
 
-def _drop(_message: dict) -> None:
-    """Drop a log message."""
-
-
 def _progress(part: str) -> None:
     print(f"measuring {part}", file=sys.stderr)
