Measure an idle instance process in the capacity command

The idle cost grows with the number of targets, because each idle target is asked for its state every 2 s.

--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -13,6 +13,7 @@
 from filbertshelf.bench.booking_cost import BookingCost, measure_bookings
 from filbertshelf.bench.decisions import DecisionCosts
 from filbertshelf.bench.frame_cost import FrameCost, measure_frames
+from filbertshelf.bench.instance_cost import InstanceCost, measure_instance
 from filbertshelf.bench.membership import MembershipCost
 from filbertshelf.bench.query_cost import (
     Latency,
@@ -52,6 +53,8 @@
     refusal_fan_outs: tuple[int, ...] = (8, 32, 128)
     targets: int = 32
     frames: Sequence[int] = (1, 10, 100)
+    idle_targets: Sequence[int] = (0, 100, 400)
+    idle_seconds: float = 4.0
     records: Sequence[int] = (1_000, 2_000, 4_000)
     decision_calls: int = 10_000
     rounds: int = 5
@@ -67,6 +70,8 @@
     refusal_fan_outs=(2,),
     targets=2,
     frames=(1, 10),
+    idle_targets=(1,),
+    idle_seconds=0.1,
     records=(10,),
     decision_calls=10,
     rounds=1,
@@ -88,6 +93,7 @@
     decisions: DecisionCosts
     refusals: Sequence[RefusalCost]
     frames: Sequence[FrameCost]
+    instances: Sequence[InstanceCost]
 
 
 @attrs.frozen
@@ -105,8 +111,9 @@
     cfg: CapacityConfig, progress: Callable[[str], None] = lambda text: None
 ) -> Costs:
     """Run all measurements one after the other; `progress` gets the part's name."""
-    progress("membership and configuration")
-    members, spreads = _in_processes(cfg)
+    progress("membership, spread and idle instances")
+    members, spreads, instances = _in_processes(cfg)
+    progress("configuration")
     stores = [measure_store(size, cfg.rounds) for size in cfg.entries]
     progress("query path")
     paths = measure_path(cfg.fan_outs, cfg.rounds)
@@ -132,12 +139,13 @@
         decisions=costs,
         refusals=refusals,
         frames=frames,
+        instances=instances,
     )
 
 
 def _in_processes(
     cfg: CapacityConfig,
-) -> tuple[list[MembershipCost], list[SpreadCost]]:
+) -> tuple[list[MembershipCost], list[SpreadCost], list[InstanceCost]]:
     """Return the costs that need long runs, each measured in its own process."""
     context = multiprocessing.get_context("spawn")
     with concurrent.futures.ProcessPoolExecutor(
@@ -148,7 +156,15 @@
             for size in cfg.members
         ]
         spreads = [pool.submit(measure_spread, size) for size in cfg.spread_nodes]
-        return [f.result() for f in members], [f.result() for f in spreads]
+        instances = [
+            pool.submit(measure_instance, size, cfg.idle_seconds)
+            for size in cfg.idle_targets
+        ]
+        return (
+            [found.result() for found in members],
+            [found.result() for found in spreads],
+            [found.result() for found in instances],
+        )
 
 
 def drop_logs() -> None:
@@ -174,6 +190,7 @@
         *_rows("decisions", [costs.decisions], "", _DECISION_UNITS),
         *_rows("refusal, HTTP", costs.refusals, "fan_out", _REFUSAL_UNITS),
         *_rows("shared frame", costs.frames, "sub_requests", _FRAME_UNITS),
+        *_rows("idle instance", costs.instances, "targets", _INSTANCE_UNITS),
     ]
     return found
 
@@ -231,6 +248,7 @@
     "both_ends": _US,
     "bytes_each": "B",
 }
+_INSTANCE_UNITS = {"cpu_share": "cores", "resident_bytes": "B"}
 
 
 def render(lines: Sequence[Row]) -> str:
--- /dev/null
+++ b/filbertshelf/bench/instance_cost.py
@@ -0,0 +1,87 @@
+"""The CPU time and memory of one instance process without requests."""
+
+from __future__ import annotations
+
+import asyncio
+import configparser
+import os
+import tempfile
+from pathlib import Path
+
+import attrs
+import uvloop
+
+from filbertshelf.bench.processes import Processes
+from filbertshelf.bench.query_cost import publication_doc, settings, stand_in
+from filbertshelf.standins.platform import PlatformStandin
+
+INSTANCE = "instance"
+# The warm-up of the links and the interval of the first probes have passed by then.
+SETTLE_S = 3.0
+
+
+@attrs.frozen
+class InstanceCost:
+    """The cost of an instance that holds one connection to each of its targets.
+
+    `cpu_share` is the share of one core, mostly health requests to the idle targets;
+    `resident_bytes` is the whole process, the interpreter and libraries included.
+    """
+
+    targets: int
+    cpu_share: float
+    resident_bytes: int
+
+
+def measure_instance(targets: int, seconds: float) -> InstanceCost:
+    """Run an instance with that many targets and return its cost while idle."""
+    return uvloop.run(_measure(targets, seconds))
+
+
+async def _measure(targets: int, seconds: float) -> InstanceCost:
+    platform = PlatformStandin()
+    await platform.start()
+    try:
+        async with stand_in(1, max(1, targets)) as addresses:
+            used = dict(list(addresses.items())[:targets])
+            platform.publish(publication_doc(int(bool(used)), used, 1))
+            with (
+                tempfile.TemporaryDirectory() as folder,
+                Processes(Path(folder)) as processes,
+            ):
+                return await _watch(platform, processes, targets, seconds)
+    finally:
+        await platform.stop()
+
+
+async def _watch(
+    platform: PlatformStandin, processes: Processes, targets: int, seconds: float
+) -> InstanceCost:
+    path = processes.folder / "instance.ini"
+    cfg = settings()
+    parser = configparser.ConfigParser(interpolation=None)
+    parser["instance"] = {
+        "name": cfg.name,
+        "data_centre": cfg.data_centre,
+        "ready_file": str(processes.ready_file(INSTANCE)),
+    }
+    parser["logs"] = {"log_file": cfg.log_file}
+    parser["peers"] = {"fleet_key": cfg.fleet_key}
+    parser["platform"] = {
+        "platform": "{}:{}".format(*platform.address),
+        "start_grace": "0.5",
+    }
+    with path.open("w") as out:
+        parser.write(out)
+    started = processes.start(INSTANCE, "run", str(path))
+    await processes.addresses(INSTANCE)
+    await asyncio.sleep(SETTLE_S)
+    before = processes.cpu_seconds(INSTANCE)
+    await asyncio.sleep(seconds)
+    cpu = processes.cpu_seconds(INSTANCE) - before
+    return InstanceCost(targets, cpu / seconds, _resident(started.pid))
+
+
+def _resident(pid: int) -> int:
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -173,47 +173,49 @@
     answer = None
 
 
-def publication(shards: int, addresses: Mapping[str, str]) -> Publication:
-    """Return a publication of one service over these targets."""
+def publication_doc(
+    shards: int, addresses: Mapping[str, str], connections: int = QUOTA
+) -> dict[str, Any]:
+    """Return the document of one service over these targets, for one instance."""
     names = list(addresses)
-    return parse_publication(
-        {
-            "fleet": {"instances": 1},
-            "services": {
-                SERVICE: {
-                    "labels": {},
-                    "index_version": "v1",
-                    "generation": 1,
-                    "shards": {
-                        f"s{i}": [
-                            names[(i + k) % len(names)]
-                            for k in range(min(REPLICAS, len(names)))
-                        ]
-                        for i in range(shards)
-                    },
-                }
-            },
-            "targets": {
-                name: {
-                    "address": address,
-                    "data_centre": "bne-1",
-                    "labels": {},
-                    "slots": QUOTA,
-                    "connections": QUOTA,
-                }
-                for name, address in addresses.items()
-            },
-            "policies": {
-                "all": {
-                    "selector": "",
-                    "services": "",
-                    "deadline_ms": DEADLINE_MS,
-                    "canary": False,
-                    "hedge": False,
-                }
-            },
+    replicas = min(REPLICAS, len(names))
+    service = {
+        "labels": {},
+        "index_version": "v1",
+        "generation": 1,
+        "shards": {
+            f"s{i}": [names[(i + k) % len(names)] for k in range(replicas)]
+            for i in range(shards)
+        },
+    }
+    targets = {
+        name: {
+            "address": address,
+            "data_centre": "bne-1",
+            "labels": {},
+            "slots": connections,
+            "connections": connections,
         }
-    )
+        for name, address in addresses.items()
+    }
+    policy = {
+        "selector": "",
+        "services": "",
+        "deadline_ms": DEADLINE_MS,
+        "canary": False,
+        "hedge": False,
+    }
+    return {
+        "fleet": {"instances": 1},
+        "services": {SERVICE: service},
+        "targets": targets,
+        "policies": {"all": policy},
+    }
+
+
+def publication(shards: int, addresses: Mapping[str, str]) -> Publication:
+    """Return the publication of one service over these targets."""
+    return parse_publication(publication_doc(shards, addresses))
 
 
 def stub_addresses(count: int) -> dict[str, str]:
@@ -286,7 +288,6 @@
     addresses = stub_addresses(max(REPLICAS, fan_out // 4))
     queries_per_round = max(1, ROUND_SUB_REQUESTS // fan_out)
     async with open_queries(fan_out, addresses) as queries:
-        # The first query runs a canary; later ones know that the query is harmless.
         await _ask(queries, 0)
         best = float("inf")
         for _ in range(rounds):
@@ -495,7 +496,7 @@
             asyncio.create_task(path.answer(f"{n:032x}", _request(n)))
             for n in range(queries)
         ]
-        # One pass starts the tasks; the canary is answered by hand, if there is one.
+        # A few passes of the event loop start the tasks and all their sub-requests.
         for _ in range(5):
             await asyncio.sleep(0)
         after = traced()
--- a/test/bench/test_capacity.py
+++ b/test/bench/test_capacity.py
@@ -28,5 +28,6 @@
         "decisions": "-",
         "refusal, HTTP": SMOKE.refusal_fan_outs,
         "shared frame": SMOKE.frames,
+        "idle instance": SMOKE.idle_targets,
     }
     assert sizes == {part: {str(s) for s in found} for part, found in expected.items()}
