--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -25,6 +25,7 @@
     measure_sockets,
 )
 from filbertshelf.bench.refusal_cost import RefusalCost, measure_refusals
+from filbertshelf.bench.size_cost import SizeCost, measure_sizes
 from filbertshelf.bench.spread import (
     SpreadCost,
     StoreCost,
@@ -89,6 +90,7 @@
     sockets: Sequence[SocketCost]
     latency: Latency
     memory: MemoryCost
+    sizes: SizeCost
     bookings: Sequence[BookingCost]
     decisions: DecisionCosts
     refusals: Sequence[RefusalCost]
@@ -98,11 +100,11 @@
 
 @attrs.frozen
 class Row:
-    """One line of the table; a size of 0 means that there is none."""
+    """One line of the table; `size` is None if the measure has none."""
 
     part: str
     measure: str
-    size: int
+    size: int | None
     value: float
     unit: str
 
@@ -119,6 +121,7 @@
     paths = measure_path(cfg.fan_outs, cfg.rounds)
     sockets, latency = measure_sockets(cfg.fan_outs, cfg.targets, cfg.rounds)
     memory = measure_memory(cfg.targets)
+    sizes = measure_sizes()
     progress("bookings")
     bookings = [measure_bookings(size) for size in cfg.records]
     progress("decisions")
@@ -135,6 +138,7 @@
         sockets=sockets,
         latency=latency,
         memory=memory,
+        sizes=sizes,
         bookings=bookings,
         decisions=costs,
         refusals=refusals,
@@ -186,6 +190,7 @@
         *_rows("query, HTTP", costs.sockets, "fan_out", _SOCKET_UNITS),
         *_rows("latency", [costs.latency], "", _LATENCY_UNITS),
         *_rows("memory", [costs.memory], "", _MEMORY_UNITS),
+        *_rows("sizes", [costs.sizes], "", _SIZE_UNITS),
         *_rows("bookings", costs.bookings, "records", _BOOKING_UNITS),
         *_rows("decisions", [costs.decisions], "", _DECISION_UNITS),
         *_rows("refusal, HTTP", costs.refusals, "fan_out", _REFUSAL_UNITS),
@@ -199,7 +204,7 @@
     part: str, costs: Iterable[object], size: str, units: dict[str, str]
 ) -> list[Row]:
     return [
-        Row(part, name, getattr(cost, size, 0), float(getattr(cost, name)), unit)
+        Row(part, name, getattr(cost, size, None), float(getattr(cost, name)), unit)
         for name, unit in units.items()
         for cost in costs
     ]
@@ -232,6 +237,7 @@
 _SOCKET_UNITS = {"cpu_us": _US, "query_ms": "ms"}
 _LATENCY_UNITS = {"direct_ms": "ms median", "query_ms": "ms median"}
 _MEMORY_UNITS = dict.fromkeys(("target", "connection", "sub_request"), "B")
+_SIZE_UNITS = dict.fromkeys(("log_line", "health", "member"), "B")
 _BOOKING_UNITS = {
     "record": "B",
     "final_record": "B",
@@ -254,7 +260,13 @@
 def render(lines: Sequence[Row]) -> str:
     """Return the table as aligned text."""
     cells = [
-        (row.part, row.measure, str(row.size or "-"), f"{row.value:.4g}", row.unit)
+        (
+            row.part,
+            row.measure,
+            "-" if row.size is None else str(row.size),
+            f"{row.value:.4g}",
+            row.unit,
+        )
         for row in lines
     ]
     cells.insert(0, ("part", "measure", "size", "value", "unit"))
@@ -264,3 +276,7 @@
         f"{value:>{widths[3]}}  {unit}"
         for part, name, size, value, unit in cells
     )
+
+
+def _text(size: int | None) -> str:
+    return "-" if size is None else str(size)
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -311,13 +311,14 @@
     return {
         "plan": _least(lambda: make_plan(found, 1, policy), calls, rounds) / fan_out,
         "choose": _least(lambda: choose_replica(states, rng), sub_calls, rounds),
-        "log": _least(_log_line, sub_calls, rounds),
+        "log": _least(log_choice, sub_calls, rounds),
         "merge": _least(lambda: merge_rows(answers, REQUEST.body), calls, rounds)
         / fan_out,
     }
 
 
-def _log_line() -> None:
+def log_choice() -> None:
+    """Log the choice of a replica, as each sub-request does."""
     events.emit(
         events.REPLICA_CHOSEN,
         request_id="0123456789abcdef0123456789abcdef",
--- /dev/null
+++ b/filbertshelf/bench/size_cost.py
@@ -0,0 +1,122 @@
+"""Sizes that multiply with the fleet: log lines, health requests and member rows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tracemalloc
+from typing import Any
+
+import attrs
+import eliot
+import uvloop
+
+from filbertshelf.bench.query_cost import log_choice, stand_in, traced
+from filbertshelf.clock import SystemClock
+from filbertshelf.coordination.targets import FixedLimit
+from filbertshelf.state.members import Member, MemberTable
+from filbertshelf.transport.targets import TargetLink
+
+LINES = 100
+PROBES = 10
+MEMBERS = 1_000
+
+
+@attrs.frozen
+class SizeCost:
+    """Bytes of one log line, one health request with its response, one member row.
+
+    The health bytes are those of HTTP, without TCP headers; the member row is memory.
+    """
+
+    log_line: float
+    health: float
+    member: float
+
+
+def measure_sizes() -> SizeCost:
+    """Return the sizes."""
+    return SizeCost(_log_line(), uvloop.run(_health()), _member())
+
+
+class _Counter:
+    """A file that only counts what is written."""
+
+    size = 0
+
+    def write(self, text: str) -> None:
+        """Count the text; eliot finds out with bytes whether it takes text."""
+        if isinstance(text, bytes):
+            raise TypeError("this file takes text")
+        self.size += len(text)
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+
+def _log_line() -> float:
+    counter = _Counter()
+    destination = eliot.FileDestination(file=counter)
+    eliot.add_destinations(destination)
+    try:
+        # The first destination also gets what was logged before.
+        before = counter.size
+        for _ in range(LINES):
+            log_choice()
+    finally:
+        eliot.remove_destination(destination)
+    return (counter.size - before) / LINES
+
+
+class _Relay:
+    """Passes bytes between a link and a target and counts them."""
+
+    def __init__(self, host: str, port: int):
+        self._address = (host, port)
+        self.size = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Relay one connection until either side closes it."""
+        other, to_other = await asyncio.open_connection(*self._address)
+        await asyncio.gather(self._pass(reader, to_other), self._pass(other, writer))
+
+    async def _pass(self, source: Any, sink: asyncio.StreamWriter) -> None:
+        while data := await source.read(65_536):
+            self.size += len(data)
+            sink.write(data)
+        sink.close()
+
+
+async def _health() -> float:
+    clock = SystemClock()
+    async with stand_in(1, 1) as addresses:
+        host, _, port = next(iter(addresses.values())).partition(":")
+        relay = _Relay(host, int(port))
+        async with await asyncio.start_server(relay.serve, "127.0.0.1", 0) as server:
+            address = "{}:{}".format(*server.sockets[0].getsockname())
+            gate = FixedLimit(1)
+            link = TargetLink("leaf-0", address, 1, clock, gate, lambda _: None)
+            await link.start()
+            for _ in range(PROBES):
+                await link.probe()
+            size = relay.size
+            await link.stop()
+            # The relay sees the end of the connection before the server closes.
+            await asyncio.sleep(0.05)
+    return size / PROBES
+
+
+def _member() -> float:
+    tracemalloc.start()
+    try:
+        before = traced()
+        own = Member("entry-0", "bne-1", ("127.0.0.1", 1), 1)
+        table = MemberTable(own, random.Random(1))
+        for i in range(1, MEMBERS):
+            row = Member(f"entry-{i}", f"bne-{i % 3}", (f"127.0.{i // 250}.1", i), i)
+            table.apply(row, 0.0)
+        return (traced() - before) / len(table)
+    finally:
+        tracemalloc.stop()
--- a/test/bench/test_capacity.py
+++ b/test/bench/test_capacity.py
@@ -24,6 +24,7 @@
         "query, HTTP": SMOKE.fan_outs,
         "latency": "-",
         "memory": "-",
+        "sizes": "-",
         "bookings": SMOKE.records,
         "decisions": "-",
         "refusal, HTTP": SMOKE.refusal_fan_outs,
