Build the document of an answer without walking its rows

Cause: attrs.asdict copied every row, which is JSON already, and called a serializer for each value in it.

--- a/filbertshelf/protocol/caller.py
+++ b/filbertshelf/protocol/caller.py
@@ -17,7 +17,7 @@
     UserError,
 )
 from filbertshelf.state.labels import Labels
-from filbertshelf.state.outcome import Answer, Outcome
+from filbertshelf.state.outcome import Answer, Missing, Outcome
 from filbertshelf.state.publication import MAX_DEADLINE_MS
 
 MAX_BODY_BYTES = 256 * 1024
@@ -27,6 +27,7 @@
 QUERY_KEYS = ("caller", "labels", "urgency", "deadline_ms", "query")
 BOOKING_KEYS = ("ticket", "caller", "labels", "urgency", "deadline_ms", "booking")
 RESERVED_LABELS = ("caller", "kind", "urgency")
+_ANSWER_FIELDS = tuple(field.name for field in attrs.fields(Answer))
 
 
 @attrs.frozen
@@ -157,16 +158,24 @@
 
 def answer_doc(answer: Answer) -> dict[str, Any]:
     """Return the JSON document of an answer."""
-    doc = attrs.asdict(answer, value_serializer=_plain)
-    doc["coverage"]["missing"] = [
-        attrs.asdict(missing, value_serializer=_plain)
-        for missing in answer.coverage.missing
-    ]
+    # The snapshot and the rows are JSON already. `attrs.asdict` would walk and copy
+    # each row, which took a fifth of the CPU time of an answer with 512 rows.
+    doc = {name: getattr(answer, name) for name in _ANSWER_FIELDS}
+    doc["outcome"] = answer.outcome.value
+    doc["coverage"] = {
+        "planned": answer.coverage.planned,
+        "answered": answer.coverage.answered,
+        "missing": [_missing_doc(missing) for missing in answer.coverage.missing],
+    }
     return doc
 
 
-def _plain(_inst: object, _field: object, value: Any) -> Any:
-    return getattr(value, "value", value)
+def _missing_doc(missing: Missing) -> dict[str, str]:
+    return {
+        "service": missing.service,
+        "shard": missing.shard,
+        "reason": missing.reason.value,
+    }
 
 
 def answer_status(answer: Answer) -> int:
