--- a/filbertshelf/bench/booking_cost.py
+++ b/filbertshelf/bench/booking_cost.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from filbertshelf.bench.query_cost import settings, traced
+from filbertshelf.bench.memory_cost import traced
+from filbertshelf.bench.query_cost import settings
 from filbertshelf.clock import SystemClock
 from filbertshelf.protocol.bookings import handoff_message
 from filbertshelf.protocol.messages import encode
--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -15,12 +15,11 @@
 from filbertshelf.bench.frame_cost import FrameCost, measure_frames
 from filbertshelf.bench.instance_cost import InstanceCost, measure_instance
 from filbertshelf.bench.membership import MembershipCost
+from filbertshelf.bench.memory_cost import MemoryCost, measure_memory
 from filbertshelf.bench.query_cost import (
     Latency,
-    MemoryCost,
     PathCost,
     SocketCost,
-    measure_memory,
     measure_path,
     measure_sockets,
 )
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -1,16 +1,14 @@
-"""The CPU time and memory of the query path, with stub links and with sockets."""
+"""The CPU time and latency of the query path, with stub links and with sockets."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import gc
 import json
 import random
 import statistics
 import tempfile
 import time
-import tracemalloc
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
@@ -32,14 +30,13 @@
 from filbertshelf.standins.target_config import HostedService, Snapshot, TargetConfig
 from filbertshelf.standins.target_host import HostConfig, save_host_config
 from filbertshelf.state.documents import Version
-from filbertshelf.state.limits import AdaptiveLimit
 from filbertshelf.state.merge import merge_rows
 from filbertshelf.state.outcome import Attempt, Reason, Result
 from filbertshelf.state.plan import make_plan
 from filbertshelf.state.publication import Publication, Target, parse_publication
 from filbertshelf.state.quarantine import Quarantine
 from filbertshelf.state.replicas import TargetState, choose_replica
-from filbertshelf.transport.targets import Call, TargetLink
+from filbertshelf.transport.targets import Call
 
 SERVICE = "capacity"
 HOST = "targets"
@@ -100,19 +97,6 @@
     query_ms: float
 
 
-@attrs.frozen
-class MemoryCost:
-    """Bytes that are held, traced by Python; kernel buffers are not in them.
-
-    `target` is a link without connections, its state and its limit; `connection`
-    comes on top for each open connection; `sub_request` is one of a query in flight.
-    """
-
-    target: float
-    connection: float
-    sub_request: float
-
-
 class _View:
     """A configuration that never changes."""
 
@@ -167,12 +151,6 @@
         self._entries[target.name] = Entry(target, link, state, quota)
 
 
-class SilentTargets(StubTargets):
-    """Targets that never answer."""
-
-    answer = None
-
-
 def publication_doc(
     shards: int, addresses: Mapping[str, str], connections: int = QUOTA
 ) -> dict[str, Any]:
@@ -437,75 +415,3 @@
             return costs, await _latency(addresses, samples)
 
     return uvloop.run(measure())
-
-
-def traced() -> int:
-    """Return the bytes of all live objects that are traced."""
-    gc.collect()
-    return tracemalloc.get_traced_memory()[0]
-
-
-def measure_memory(
-    targets: int = 32, queries: int = 20, fan_out: int = 128
-) -> MemoryCost:
-    """Return the memory of targets, connections and queries in flight."""
-    return uvloop.run(_memory(targets, queries, fan_out))
-
-
-async def _memory(targets: int, queries: int, fan_out: int) -> MemoryCost:
-    async with stand_in(fan_out, targets) as addresses:
-        tracemalloc.start()
-        try:
-            target, connection = await _target_bytes(addresses)
-            sub_request = await _query_bytes(queries, fan_out) / queries / fan_out
-        finally:
-            tracemalloc.stop()
-    return MemoryCost(target, connection, sub_request)
-
-
-async def _target_bytes(addresses: Mapping[str, str]) -> tuple[float, float]:
-    """Return the bytes of a target with a full latency window, and a connection's."""
-    clock = SystemClock()
-    entries = []
-    before = traced()
-    for target in publication(1, addresses).targets.values():
-        limit = AdaptiveLimit(target.slots, QUOTA, clock)
-        link = TargetLink(
-            target.name, target.address, QUOTA, clock, limit, lambda _: None
-        )
-        state = TargetState(target, clock)
-        for _ in range(100):
-            state.started()
-            state.finished(Result.ANSWERED, Reason.NONE, 0.005)
-        entries.append(Entry(target, link, state, QUOTA))
-        await link.start()
-    made = traced()
-    for entry in entries:
-        await entry.link.warm_up()
-    opened = traced()
-    for entry in entries:
-        await entry.link.stop()
-    count = len(entries)
-    return (made - before) / count, (opened - made) / count / QUOTA
-
-
-async def _query_bytes(queries: int, fan_out: int) -> int:
-    addresses = stub_addresses(fan_out)
-    async with open_queries(fan_out, addresses, SilentTargets) as path:
-        before = traced()
-        tasks = [
-            asyncio.create_task(path.answer(f"{n:032x}", _request(n)))
-            for n in range(queries)
-        ]
-        # A few passes of the event loop start the tasks and all their sub-requests.
-        for _ in range(5):
-            await asyncio.sleep(0)
-        after = traced()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    return after - before
-
-
-def _request(number: int) -> CallerRequest:
-    return attrs.evolve(REQUEST, body={"text": f"coat rack {number}"})
--- a/filbertshelf/bench/size_cost.py
+++ b/filbertshelf/bench/size_cost.py
@@ -11,7 +11,8 @@
 import eliot
 import uvloop
 
-from filbertshelf.bench.query_cost import log_choice, stand_in, traced
+from filbertshelf.bench.memory_cost import traced
+from filbertshelf.bench.query_cost import log_choice, stand_in
 from filbertshelf.clock import SystemClock
 from filbertshelf.coordination.targets import FixedLimit
 from filbertshelf.state.members import Member, MemberTable
