--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -228,6 +228,7 @@
 _SPREAD_UNITS = {
     "mean_bytes": "B per node and change",
     "most_bytes": "B at one node",
+    "most_trips": "one-way trips to 90%",
     "one_way_trips": "one-way trips",
     "idle_bytes_per_s": "B/s per node",
     "calls_per_s": "platform calls/s",
--- a/filbertshelf/bench/memory_cost.py
+++ b/filbertshelf/bench/memory_cost.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import random
 import tracemalloc
 from collections.abc import Mapping
 
@@ -74,6 +75,7 @@
 async def _target_bytes(addresses: Mapping[str, str]) -> tuple[float, float]:
     """Return the bytes of a target with a full latency window, and a connection's."""
     clock = SystemClock()
+    rng = random.Random(1)
     entries = []
     before = traced()
     for target in publication(1, addresses).targets.values():
@@ -81,11 +83,11 @@
         link = TargetLink(
             target.name, target.address, QUOTA, clock, limit, lambda _: None
         )
-        state = TargetState(target, clock)
+        state = TargetState(target, clock, rng)
         for _ in range(100):
             state.started()
             state.finished(Result.ANSWERED, Reason.NONE, 0.005)
-        entries.append(Entry(target, link, state, QUOTA))
+        entries.append(Entry(target, link, state, limit, QUOTA))
         await link.start()
     made = traced()
     for entry in entries:
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -33,9 +33,9 @@
 from filbertshelf.state.merge import merge_rows
 from filbertshelf.state.outcome import Attempt, Reason, Result
 from filbertshelf.state.plan import make_plan
-from filbertshelf.state.publication import Publication, Target, parse_publication
+from filbertshelf.state.publication import Publication, parse_publication
 from filbertshelf.state.quarantine import Quarantine
-from filbertshelf.state.replicas import TargetState, choose_replica
+from filbertshelf.state.replicas import choose_replica
 from filbertshelf.transport.targets import Call
 
 SERVICE = "capacity"
@@ -118,6 +118,7 @@
     """Answers each call in the next pass of the event loop, or never."""
 
     load = 0
+    limit = QUOTA
 
     def __init__(self, name: str, answer: Mapping[str, Any] | None):
         self._name = name
@@ -145,10 +146,9 @@
 
     answer: Mapping[str, Any] | None = {"rows": ROWS}
 
-    async def _add(self, target: Target, quota: int) -> None:
-        state = TargetState(target, self._clock)
-        link = StubLink(target.name, self.answer)
-        self._entries[target.name] = Entry(target, link, state, quota)
+    async def _link(self, entry: Entry) -> None:
+        entry.link = StubLink(entry.target.name, self.answer)
+        self._entries[entry.target.name] = entry
 
 
 def publication_doc(
--- a/filbertshelf/bench/spread.py
+++ b/filbertshelf/bench/spread.py
@@ -27,13 +27,15 @@
 
     Bytes are those of the encoded messages that a node receives, without WebSocket
     and TCP headers. `one_way_trips` is the time from the first node that holds the
-    change to the last one, in units of the network's latency. `calls_per_s` is the
-    platform calls of the whole fleet while nothing changes.
+    change to the last one, in units of the network's latency, and `most_trips` that
+    until 90% hold it. `calls_per_s` is the platform calls of the whole fleet while
+    nothing changes.
     """
 
     nodes: int
     mean_bytes: float
     most_bytes: int
+    most_trips: float
     one_way_trips: float
     idle_bytes_per_s: float
     calls_per_s: float
@@ -99,7 +101,8 @@
     before = _received(fleet, "payload")
     fleet.platform.publish(2, publication(entries, 1))
     await fleet.run(8, lambda: fleet.at(2) > 0, LATENCY_S)
-    took = await fleet.run(8, lambda: fleet.at(2) == nodes, LATENCY_S)
+    most = await fleet.run(8, lambda: fleet.at(2) >= 0.9 * nodes, LATENCY_S)
+    took = most + await fleet.run(8, lambda: fleet.at(2) == nodes, LATENCY_S)
     # Until all have it, the last offers and replies are still under way.
     await fleet.run(0.1, step=LATENCY_S)
     pairs = zip(before, _received(fleet, "payload"), strict=True)
@@ -109,6 +112,7 @@
         nodes,
         sum(change) / nodes,
         max(change),
+        most / LATENCY_S,
         took / LATENCY_S,
         idle / IDLE_S / nodes,
         idle_calls / IDLE_S,
--- a/filbertshelf/state/admission.py
+++ b/filbertshelf/state/admission.py
@@ -12,7 +12,13 @@
 
 URGENCIES = 10
 
-MIN_RUNNING_SHARE = 0.125
+START_SHARE = 0.125
+"""The running limit starts at this part of `max_running` and rises while it is used.
+
+A restarted instance at month-end must not run a month-end's queue at once.
+"""
+
+MIN_RUNNING_SHARE = 0.03125
 """The running limit stays above this part of `max_running`.
 
 Slow targets also inflate the latency of queries; the limit must not collapse then.
@@ -149,7 +155,7 @@
         self._clock = clock
         self._max_running = max_running
         self._max_queued = max_queued
-        self._limit = float(max_running)
+        self._limit = max(1.0, max_running * START_SHARE)
         self._decreased_at = float("-inf")
         self._latency = LatencyFloor(clock)
         self._service_s = 0.0
@@ -198,13 +204,13 @@
         """Record the end of a query and return what leaves the queue.
 
         `whole` is False if missing shards set the duration: it says nothing about
-        this instance's load then, and doesn't change the running limit.
+        this instance's load then, and doesn't change the running limit. A duration
+        of 0.0 means that the place was not used.
         """
         self.running -= 1
-        old = self._service_s
-        self._service_s = (
-            old + SERVICE_WEIGHT * (duration_s - old) if old else duration_s
-        )
+        if duration_s > 0.0:
+            old = self._service_s or duration_s
+            self._service_s = old + SERVICE_WEIGHT * (duration_s - old)
         if whole:
             self._adapt(duration_s)
         return self._release()
