Split the parts of a round from the scatter; mend two wasteful paths

A hedge of a canary took a token although the quarantine forbids it, and the early stop of the tail goal counted all shards on each wake-up (n^2 for a query of n shards). Both found by reading.

--- a/filbertshelf/coordination/queries.py
+++ b/filbertshelf/coordination/queries.py
@@ -14,7 +14,8 @@
 from filbertshelf.coordination.admission import Admission
 from filbertshelf.coordination.budgets import Budgets
 from filbertshelf.coordination.rates import Rates
-from filbertshelf.coordination.scatter import Job, Scatter
+from filbertshelf.coordination.scatter import Scatter
+from filbertshelf.coordination.shards import Job
 from filbertshelf.coordination.targets import Targets
 from filbertshelf.errors import NotReadyError, OverloadedError, QuarantinedError
 from filbertshelf.metrics import Metrics
--- a/filbertshelf/coordination/scatter.py
+++ b/filbertshelf/coordination/scatter.py
@@ -4,22 +4,24 @@
 
 import asyncio
 import collections
-import enum
 import heapq
 import itertools
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any, Protocol
-
-import attrs
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 from filbertshelf import events
-from filbertshelf.clock import Clock
-from filbertshelf.coordination.budgets import Budgets
-from filbertshelf.coordination.targets import Targets
+from filbertshelf.coordination.shards import (
+    FREE_RETRY,
+    PASSING,
+    SNAPSHOT_GONE,
+    Job,
+    ShardRun,
+    Shared,
+    Timer,
+)
 from filbertshelf.state.outcome import Attempt, Coverage, Missing, Reason, Result
-from filbertshelf.state.plan import Plan, ShardRef
 from filbertshelf.state.publication import Goal
-from filbertshelf.state.quarantine import Quarantine, Verdict
+from filbertshelf.state.quarantine import Verdict
 from filbertshelf.state.replicas import Choice
 from filbertshelf.transport.targets import Call
 
@@ -35,70 +37,6 @@
 CANARY_DELAYS = 3.0
 HEDGE_GAIN = 2.0  # A replica that usually takes more than this times the wait is slow.
 
-# Refusals that are known not to have run and don't repeat on the same replica, so
-# that retries after them are bounded by the number of replicas.
-_FREE_RETRY = frozenset(
-    {
-        Reason.DRAINING,
-        Reason.OTHER_SNAPSHOT,
-        Reason.CONNECT_FAILED,
-        Reason.NO_REPLICA,
-    }
-)
-# Reasons that can mean that the pinned snapshot has no holder left.
-_SNAPSHOT_GONE = frozenset({Reason.OTHER_SNAPSHOT, Reason.NO_REPLICA, Reason.DRAINING})
-# Refusals after which the same replica may be asked again.
-_PASSING = frozenset({Reason.OVERLOADED, Reason.COLD})
-
-
-class Timer(enum.Enum):
-    """What is due for a shard at a set time."""
-
-    HEDGE = "hedge"
-    SOFT_TIMEOUT = "soft timeout"
-    RETRY = "retry after backoff"
-    QUARANTINE = "retry when the quarantine allows it"
-
-
-@attrs.define(eq=False)
-class ShardRun:
-    """The progress of one shard."""
-
-    index: int
-    ref: ShardRef
-    tried: set[str] = attrs.field(factory=set)
-    calls: dict[Call, str] = attrs.field(factory=dict)
-    attempts: int = 0
-    answer: Mapping[str, Any] | None = None
-    reason: Reason = Reason.TIMEOUT
-    closed: bool = False
-
-
-class Shared(Protocol):
-    """What a round needs of the instance."""
-
-    clock: Clock
-    targets: Targets
-    budgets: Budgets
-    quarantine: Quarantine
-    adaptive: bool
-
-    def busy(self) -> bool:
-        """Return whether requests wait for admission."""
-
-
-@attrs.frozen
-class Job:
-    """What a round has to do; the deadline is in monotonic seconds."""
-
-    request_id: str
-    plan: Plan
-    body: bytes
-    fingerprint: str
-    deadline: float
-    check: Callable[[], None]
-    newer_snapshot: Callable[[], bool] = lambda: False
-
 
 class Scatter:
     """Runs one round; its state belongs to the task that awaits `run`."""
@@ -111,6 +49,7 @@
         self._held: list[ShardRun] = []
         self._canary: ShardRun | None = None
         self._open = len(self._runs)
+        self._answered = 0
         self._timers: list[tuple[float, int, Timer, ShardRun]] = []
         self._order = itertools.count()
         self._ended: collections.deque[tuple[ShardRun, Call, Attempt]] = (
@@ -166,7 +105,7 @@
 
     def lost_snapshot(self) -> bool:
         """Return whether a shard is missing because no replica has the snapshot."""
-        return any(run.closed and run.reason in _SNAPSHOT_GONE for run in self._runs)
+        return any(run.closed and run.reason in SNAPSHOT_GONE for run in self._runs)
 
     def other_snapshot(self) -> bool:
         """Return whether a target refused because it has another snapshot."""
@@ -292,7 +231,7 @@
             run.reason = Reason.NO_REPLICA
         run.closed = True
         self._open -= 1
-        if run.reason in _SNAPSHOT_GONE and self._job.newer_snapshot():
+        if run.reason in SNAPSHOT_GONE and self._job.newer_snapshot():
             self._abandoned = True
         if run is self._canary:
             self._release()
@@ -322,6 +261,7 @@
 
     def _accept(self, run: ShardRun, attempt: Attempt) -> None:
         run.answer = attempt.answer
+        self._answered += 1
         self._open -= 1
         self._shared.budgets.answered(run.ref.service, attempt.latency)
         for call, target in run.calls.items():
@@ -351,10 +291,10 @@
     def _retry(self, run: ShardRun, attempt: Attempt) -> None:
         if run.attempts >= MAX_ATTEMPTS:
             self._give_up(run)
-        elif attempt.reason in _PASSING:
+        elif attempt.reason in PASSING:
             run.tried.discard(attempt.target)
             self._add_timer(BACKOFF_S * run.attempts, Timer.RETRY, run)
-        elif attempt.reason in _FREE_RETRY or self._may_retry():
+        elif attempt.reason in FREE_RETRY or self._may_retry():
             self._attempt(run, f"retry after {attempt.reason.value}")
         else:
             self._give_up(run)
@@ -398,15 +338,15 @@
         now = self._clock.monotonic()
         if call.running:
             self._shared.targets.observe_waiting(target, now - call.started_at)
-        untried = [name for name in run.ref.replicas if name not in run.tried]
+        untried = [
+            name
+            for name in run.ref.replicas
+            if name not in run.tried and self._may_start(name)
+        ]
         # A hedge to a replica that is known to be slow would only waste the budget.
         limit = HEDGE_GAIN * (now - call.queued_at)
         faster = self._shared.targets.faster_than(untried, limit)
-        if (
-            faster
-            and not self._shared.busy()
-            and self._shared.budgets.hedge.try_spend()
-        ):
+        if faster and self._shared.budgets.hedge.try_spend():
             self._attempt(run, Timer.HEDGE.value, faster)
 
     def _retry_now(self, run: ShardRun, timer: Timer) -> None:
@@ -420,10 +360,9 @@
     def _stop_at(self) -> float:
         policy = self._job.plan.policy
         early = self._started_at + policy.partial_after_ms / 1000
-        if policy.goal is Goal.TAIL and policy.partial_after_ms:
-            answered = sum(run.answer is not None for run in self._runs)
-            if answered >= TAIL_SHARE * len(self._runs):
-                return min(early, self._job.deadline)
+        enough = self._answered >= TAIL_SHARE * len(self._runs)
+        if policy.goal is Goal.TAIL and policy.partial_after_ms and enough:
+            return min(early, self._job.deadline)
         return self._job.deadline
 
     async def _wait(self, seconds: float) -> None:
