Share the least-CPU-time loop of the cost measurements

Cause: decisions.py and query_cost.py held the same loop under two names. Change: bench/cpu_time.py holds it as least_cpu_us; both use it. The docstring of decisions.measure states what calls means.

--- a/filbertshelf/bench/decisions.py
+++ b/filbertshelf/bench/decisions.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 import attrs
 
+from filbertshelf.bench.cpu_time import least_cpu_us
 from filbertshelf.clock import SystemClock
 from filbertshelf.state.admission import AdmissionQueue, Waiting
 from filbertshelf.state.budgets import LatencyWindow
@@ -42,30 +42,23 @@
 
 
 def measure(calls: int = CALLS) -> DecisionCosts:
-    """Return the costs of the decisions on this machine."""
+    """Return the costs of the decisions; each round makes `calls` calls of each."""
     states = _states()
     rng = random.Random(SEED)
-    return DecisionCosts(
-        choose_replica=_cost(lambda: choose_replica(states, rng), calls),
-        choose_random=_cost(lambda: choose_random(states, rng), calls),
-        attempt=_cost(_attempt(states[0]), calls),
-        refuse=_cost(_refusal(), calls),
-        take=_cost(RateShare(1e9, Fleet(20, 4), SystemClock()).take, calls),
-        fingerprint=_cost(_fingerprint(), calls),
-        guard=_cost(_guard(), calls),
-        record=_cost(_record(), calls),
-    )
 
+    def cost(call: Callable[[], object]) -> float:
+        return least_cpu_us(call, calls, ROUNDS)
 
-def _cost(call: Callable[[], object], calls: int) -> float:
-    """Return the least mean CPU time; other work on the machine only adds to it."""
-    best = float("inf")
-    for _ in range(ROUNDS):
-        start = time.process_time()
-        for _ in range(calls):
-            call()
-        best = min(best, time.process_time() - start)
-    return best / calls * 1e6
+    return DecisionCosts(
+        choose_replica=cost(lambda: choose_replica(states, rng)),
+        choose_random=cost(lambda: choose_random(states, rng)),
+        attempt=cost(_attempt(states[0])),
+        refuse=cost(_refusal()),
+        take=cost(RateShare(1e9, Fleet(20, 4), SystemClock()).take),
+        fingerprint=cost(_fingerprint()),
+        guard=cost(_guard()),
+        record=cost(_record()),
+    )
 
 
 def _states() -> tuple[TargetState, ...]:
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -9,7 +9,7 @@
 import statistics
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +18,7 @@
 import uvloop
 
 from filbertshelf import events
+from filbertshelf.bench.cpu_time import least_cpu_us
 from filbertshelf.bench.processes import Processes
 from filbertshelf.clock import SystemClock
 from filbertshelf.coordination.queries import Queries
@@ -251,17 +252,6 @@
         raise RuntimeError(f"the measured query missed {answer.coverage.missing[:1]}")
 
 
-def _least(call: Callable[[], object], calls: int, rounds: int) -> float:
-    """Return the least mean CPU time of a call in microseconds."""
-    best = float("inf")
-    for _ in range(rounds):
-        start = time.process_time()
-        for _ in range(calls):
-            call()
-        best = min(best, time.process_time() - start)
-    return best / calls * 1e6
-
-
 async def _path(fan_out: int, rounds: int) -> PathCost:
     addresses = stub_addresses(max(REPLICAS, fan_out // 4))
     queries_per_round = max(1, ROUND_SUB_REQUESTS // fan_out)
@@ -287,10 +277,11 @@
     rng = random.Random(1)
     sub_calls = calls * fan_out
     return {
-        "plan": _least(lambda: make_plan(found, 1, policy), calls, rounds) / fan_out,
-        "choose": _least(lambda: choose_replica(states, rng), sub_calls, rounds),
-        "log": _least(log_choice, sub_calls, rounds),
-        "merge": _least(lambda: merge_rows(answers, REQUEST.body), calls, rounds)
+        "plan": least_cpu_us(lambda: make_plan(found, 1, policy), calls, rounds)
+        / fan_out,
+        "choose": least_cpu_us(lambda: choose_replica(states, rng), sub_calls, rounds),
+        "log": least_cpu_us(log_choice, sub_calls, rounds),
+        "merge": least_cpu_us(lambda: merge_rows(answers, REQUEST.body), calls, rounds)
         / fan_out,
     }
 
