Use the shared log fixture in the transport and membership tests

Cause: both defined a copy of the fixture in test/conftest.py, without its discard of messages that were logged before the test. Change: the copies are removed; the tests get the shared fixture.

--- a/test/coordination/test_membership.py
+++ b/test/coordination/test_membership.py
@@ -4,7 +4,6 @@
 import random
 
 import attrs
-import eliot
 import pytest
 
 from filbertshelf import events
@@ -55,14 +54,6 @@
         await self.peers.stop()
 
 
-@pytest.fixture
-def log():
-    lines = []
-    eliot.add_destinations(lines.append)
-    yield lines
-    eliot.remove_destination(lines.append)
-
-
 @pytest.fixture
 async def start():
     nodes = []
--- a/test/transport/conftest.py
+++ b/test/transport/conftest.py
@@ -1,6 +1,5 @@
 """Peers on ports that the system assigns."""
 
-import eliot
 import pytest
 
 from filbertshelf.clock import SystemClock
@@ -32,12 +31,3 @@
     yield start
     for peers in started:
         await peers.stop()
-
-
-@pytest.fixture
-def log():
-    """Return the list of log lines that the test causes."""
-    lines = []
-    eliot.add_destinations(lines.append)
-    yield lines
-    eliot.remove_destination(lines.append)
