Write the INI file of an instance in one place

Cause: bench/fleet.py, bench/instance_cost.py and test/fleet.py each wrote the file and started the instance with it. Change: Processes.start_instance does both; the callers pass the sections. The docstring of measure_instance states the unit of seconds and the error.

--- a/filbertshelf/bench/fleet.py
+++ b/filbertshelf/bench/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import configparser
 import secrets
 import time
 from collections.abc import Collection, Iterable, Mapping
@@ -158,12 +157,7 @@
     def _start_instance(self, number: int) -> tuple[str, str]:
         places = self.cfg.profile.data_centres
         name, place = f"entry-{number:02d}", places[number % len(places)]
-        path = self._processes.folder / f"{name}.ini"
-        parser = configparser.ConfigParser(interpolation=None)
-        parser.read_dict(self._settings(name, place))
-        with path.open("w") as out:
-            parser.write(out)
-        self._processes.start(name, "run", str(path))
+        self._processes.start_instance(name, self._settings(name, place))
         return name, place
 
     def _settings(self, name: str, place: str) -> dict[str, dict[str, Any]]:
--- a/filbertshelf/bench/instance_cost.py
+++ b/filbertshelf/bench/instance_cost.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import configparser
 import os
 import tempfile
 from pathlib import Path
@@ -34,7 +33,11 @@
 
 
 def measure_instance(targets: int, seconds: float) -> InstanceCost:
-    """Run an instance with that many targets and return its cost while idle."""
+    """Run an instance with that many targets and return its cost while idle.
+
+    `seconds` is the measured time after the start has settled. Raises
+    `ExperimentError` if the instance doesn't start.
+    """
     return uvloop.run(_measure(targets, seconds))
 
 
@@ -57,23 +60,21 @@
 async def _watch(
     platform: PlatformStandin, processes: Processes, targets: int, seconds: float
 ) -> InstanceCost:
-    path = processes.folder / "instance.ini"
     cfg = settings()
-    parser = configparser.ConfigParser(interpolation=None)
-    parser["instance"] = {
-        "name": cfg.name,
-        "data_centre": cfg.data_centre,
-        "ready_file": str(processes.ready_file(INSTANCE)),
-    }
-    parser["logs"] = {"log_file": cfg.log_file}
-    parser["peers"] = {"fleet_key": cfg.fleet_key}
-    parser["platform"] = {
-        "platform": "{}:{}".format(*platform.address),
-        "start_grace": "0.5",
+    sections = {
+        "instance": {
+            "name": cfg.name,
+            "data_centre": cfg.data_centre,
+            "ready_file": processes.ready_file(INSTANCE),
+        },
+        "logs": {"log_file": cfg.log_file},
+        "peers": {"fleet_key": cfg.fleet_key},
+        "platform": {
+            "platform": "{}:{}".format(*platform.address),
+            "start_grace": 0.5,
+        },
     }
-    with path.open("w") as out:
-        parser.write(out)
-    started = processes.start(INSTANCE, "run", str(path))
+    started = processes.start_instance(INSTANCE, sections)
     await processes.addresses(INSTANCE)
     await asyncio.sleep(SETTLE_S)
     before = processes.cpu_seconds(INSTANCE)
--- a/filbertshelf/bench/processes.py
+++ b/filbertshelf/bench/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import configparser
 import json
 import os
 import signal
@@ -105,6 +106,20 @@
         self._started[name] = Started(name, popen, ready_file, log_file)
         return self._started[name]
 
+    def start_instance(
+        self, name: str, sections: Mapping[str, Mapping[str, Any]]
+    ) -> Started:
+        """Start an instance with these sections of its INI file.
+
+        Its `ready_file` setting has to be `ready_file(name)`.
+        """
+        path = self.folder / f"{name}.ini"
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        with path.open("w", encoding="utf-8") as out:
+            parser.write(out)
+        return self.start(name, "run", str(path))
+
     async def addresses(self, name: str) -> Mapping[str, Any]:
         """Return what the process reported once it has started.
 
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import configparser
 import contextlib
-import io
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -25,21 +23,16 @@
 SHARDS = ("s0", "s1", "s2", "s3")
 
 
-def _ini(cfg: Settings) -> str:
-    """Return the INI text of settings; addresses are written as IP:PORT."""
-    parser = configparser.ConfigParser(interpolation=None)
+def _ini_sections(cfg: Settings) -> dict[str, dict[str, str]]:
+    """Return the sections of the INI file; addresses are written as IP:PORT."""
+    sections: dict[str, dict[str, str]] = {}
     for field in attrs.fields(Settings):
         value = getattr(cfg, field.name)
         if value in (None, ()):
             continue
-        section = field.metadata["section"]
-        if not parser.has_section(section):
-            parser.add_section(section)
         text = "{}:{}".format(*value) if isinstance(value, tuple) else str(value)
-        parser.set(section, field.name, text)
-    out = io.StringIO()
-    parser.write(out)
-    return out.getvalue()
+        sections.setdefault(field.metadata["section"], {})[field.name] = text
+    return sections
 
 
 class Fleet:
@@ -135,9 +128,7 @@
         """Start an instance as a process of its own and wait until it is ready."""
         ready_file = str(processes.ready_file(name))
         cfg = self.settings(name, ready_file=ready_file, **settings)
-        path = processes.folder / f"{name}.ini"
-        path.write_text(_ini(cfg))
-        processes.start(name, "run", str(path))
+        processes.start_instance(name, _ini_sections(cfg))
         addresses = await processes.addresses(name)
         host, _, port = addresses["address"].rpartition(":")
         self.entries[name] = (host, int(port))
