--- a/test/promises/test_leaving.py
+++ b/test/promises/test_leaving.py
@@ -15,6 +15,14 @@
     return [e for e in fleet.targets[name].history().executions if e.start > moment]
 
 
+async def until_draining(fleet, name):
+    """Wait until every instance knows that the target is draining."""
+    instances = fleet.instances.values()
+    await fleet.until(
+        lambda: all(i.targets.states()[name].draining for i in instances), FEW_SECONDS
+    )
+
+
 async def query_for(fleet, seconds, count=40):
     answers = []
     for number in range(count):
@@ -27,12 +35,7 @@
 async def test_a_listed_leaving_target_gets_no_new_work(fleet):
     await fleet.start()
     fleet.leave_target("t0")
-    await fleet.until(
-        lambda: all(
-            i.targets.states()["t0"].draining for i in fleet.instances.values()
-        ),
-        FEW_SECONDS,
-    )
+    await until_draining(fleet, "t0")
     fleet.targets["t0"].clear()
     answers = await query_for(fleet, 0.5)
     assert all(answer["outcome"] == "whole" for answer in answers)
@@ -43,12 +46,7 @@
     # Guards against waiting for the list, which lags; no query tells the instances.
     await fleet.start()
     await fleet.targets["t0"].set_faults(Faults(draining=True))
-    await fleet.until(
-        lambda: all(
-            i.targets.states()["t0"].draining for i in fleet.instances.values()
-        ),
-        FEW_SECONDS,
-    )
+    await until_draining(fleet, "t0")
     fleet.targets["t0"].clear()
     answers = await query_for(fleet, 0.5)
     assert all(answer["outcome"] == "whole" for answer in answers)
