--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -181,7 +181,7 @@
 
 def rows(costs: Costs) -> list[Row]:
     """Return the lines of the table."""
-    found = [
+    return [
         *_rows("membership", costs.members, "members", _MEMBER_UNITS),
         *_rows("configuration", costs.stores, "entries", _STORE_UNITS),
         *_rows("spread", costs.spreads, "nodes", _SPREAD_UNITS),
@@ -196,7 +196,6 @@
         *_rows("shared frame", costs.frames, "sub_requests", _FRAME_UNITS),
         *_rows("idle instance", costs.instances, "targets", _INSTANCE_UNITS),
     ]
-    return found
 
 
 def _rows(
