Time the frame codec with the shared loop

Cause: _codec held a further copy of the least-CPU-time loop. Change: measure_frames uses least_cpu_us; the docstring of _exchange states its unit.

--- a/filbertshelf/bench/frame_cost.py
+++ b/filbertshelf/bench/frame_cost.py
@@ -15,6 +15,7 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection, serve
 
+from filbertshelf.bench.cpu_time import least_cpu_us
 from filbertshelf.bench.query_cost import DEADLINE_MS, REQUEST, ROWS, SERVICE
 
 ROUNDS = 5
@@ -57,18 +58,15 @@
     request = request_frame(count)
     reply = reply_frame(request)
     size = len(cbor2.dumps(request)) + len(cbor2.dumps(reply))
-    codec = min(_codec(request, reply, frames) for _ in range(rounds))
-    both = uvloop.run(_exchange(request, frames, rounds))
-    total = frames * count
-    return FrameCost(count, codec / total * 1e6, both / total * 1e6, size / count)
-
 
-def _codec(request: list[Any], reply: list[Any], frames: int) -> float:
-    start = time.process_time()
-    for _ in range(frames):
+    def code() -> None:
         cbor2.loads(cbor2.dumps(request))
         cbor2.loads(cbor2.dumps(reply))
-    return time.process_time() - start
+
+    codec = least_cpu_us(code, frames, rounds) / count
+    both = uvloop.run(_exchange(request, frames, rounds))
+    both_ends = both / (frames * count) * 1e6
+    return FrameCost(count, codec, both_ends, size / count)
 
 
 async def _answer(ws: ServerConnection) -> None:
@@ -77,7 +75,7 @@
 
 
 async def _exchange(request: list[Any], frames: int, rounds: int) -> float:
-    """Return the least CPU time of the frames, of both ends in this process."""
+    """Return the least CPU seconds of the frames, both ends in this process."""
     best = float("inf")
     async with serve(_answer, "127.0.0.1", 0, compression=None) as server:
         host, port = server.sockets[0].getsockname()
