State units and errors in the docstrings of the experiments

Cause: the docstrings of bench named neither the units of the times and the scale nor the errors that callers meet. Change: docstrings only, and _note_targets is a plain function, as it awaits nothing.

--- a/filbertshelf/bench/decisions.py
+++ b/filbertshelf/bench/decisions.py
@@ -28,7 +28,7 @@
 
     `attempt` is `started` and `finished` of one target; `guard` is `may_start`,
     `started` and `finished` of the quarantine; `refuse` is an `offer` to a full
-    queue.
+    queue; `take` is one of a `RateShare`, `record` one of a `LatencyWindow`.
     """
 
     choose_replica: float
--- a/filbertshelf/bench/experiment.py
+++ b/filbertshelf/bench/experiment.py
@@ -27,7 +27,11 @@
 
 @attrs.frozen(kw_only=True)
 class ExperimentConfig:
-    """Which scenarios are run, on which fleet, and for how long."""
+    """Which scenarios are run, on which fleet, and for how long.
+
+    `scale` is the share of the profile's size, above 0 and at most 1. Each
+    measured load lasts `duration_s` seconds, after `warm_up_s` of ordinary load.
+    """
 
     profile: Profile = HATSTAND
     scale: float = 0.2
@@ -66,7 +70,11 @@
     clock: Clock,
     on_measured: Callable[[Measurement], None] = lambda measurement: None,
 ) -> tuple[Measurement, ...]:
-    """Return a measurement for each scenario and strategy, each on a new fleet."""
+    """Return a measurement for each scenario and strategy, each on a new fleet.
+
+    `on_measured` gets each measurement when it is made. Raises `ExperimentError` if
+    a fleet doesn't start or a stand-in rejects an action.
+    """
     found = []
     for scenario in cfg.scenarios:
         for strategy in cfg.strategies:
--- a/filbertshelf/bench/fleet.py
+++ b/filbertshelf/bench/fleet.py
@@ -35,7 +35,11 @@
 
 @attrs.frozen(kw_only=True)
 class FleetConfig:
-    """A fleet to start; the profile is already scaled."""
+    """A fleet to start; the profile is already scaled.
+
+    The targets share `target_processes` processes. `cold_s` is how many seconds a
+    target is cold after a restart.
+    """
 
     profile: Profile
     strategy: str = "adaptive"
@@ -60,7 +64,10 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
-        """Start all processes and wait until every instance is ready."""
+        """Start all processes and wait until every instance is ready.
+
+        Raises `ExperimentError` if one doesn't start or get ready in time.
+        """
         timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
         self._session = aiohttp.ClientSession(timeout=timeout)
         try:
@@ -127,7 +134,7 @@
         names = self._start_stand_ins()
         self._platform = (await self._processes.addresses(PLATFORM))["address"]
         for name in names:
-            await self._note_targets(await self._processes.addresses(name))
+            self._note_targets(await self._processes.addresses(name))
         await self.publish(Version(profiles.FIRST_VERSION, profiles.FIRST_GENERATION))
         instances = [self._start_instance(i) for i in range(self.cfg.profile.instances)]
         await asyncio.gather(*(self._list_instance(*item) for item in instances))
@@ -149,7 +156,7 @@
             names.append(name)
         return names
 
-    async def _note_targets(self, addresses: Mapping[str, Any]) -> None:
+    def _note_targets(self, addresses: Mapping[str, Any]) -> None:
         for name, address in addresses["targets"].items():
             self._targets[name] = address
             self._admin[name] = addresses["admin"]
--- a/filbertshelf/bench/processes.py
+++ b/filbertshelf/bench/processes.py
@@ -86,7 +86,8 @@
     def start(self, name: str, *args: str) -> Started:
         """Start a process with these arguments of the command line.
 
-        The process has to write its bound addresses to `ready_file(name)`.
+        The process has to write its bound addresses to `ready_file(name)`. Raises
+        `ValueError` if the name was used before.
         """
         if name in self._started:
             raise ValueError(f"process {name!r} was already started")
--- a/filbertshelf/bench/refusal_cost.py
+++ b/filbertshelf/bench/refusal_cost.py
@@ -61,7 +61,10 @@
 def measure_refusals(
     fan_outs: tuple[int, ...], rounds: int = ROUNDS
 ) -> list[RefusalCost]:
-    """Return the costs at each fan-out."""
+    """Return the costs at each fan-out.
+
+    Raises `RuntimeError` if a response has another status than the measured one.
+    """
     return uvloop.run(_measure(fan_outs, rounds))
 
 
