--- a/filbertshelf/bench/experiment.py
+++ b/filbertshelf/bench/experiment.py
@@ -73,7 +73,8 @@
     """Return a measurement for each scenario and strategy, each on a new fleet.
 
     `on_measured` gets each measurement when it is made. Raises `ExperimentError` if
-    a fleet doesn't start or a stand-in rejects an action.
+    a fleet doesn't start, and an `ExceptionGroup` with one if a stand-in rejects an
+    action during the load.
     """
     found = []
     for scenario in cfg.scenarios:
