--- a/filbertshelf/bench/fleet.py
+++ b/filbertshelf/bench/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import configparser
 import secrets
 import time
 from collections.abc import Collection, Iterable, Mapping
@@ -36,7 +35,11 @@
 
 @attrs.frozen(kw_only=True)
 class FleetConfig:
-    """A fleet to start; the profile is already scaled."""
+    """A fleet to start; the profile is already scaled.
+
+    The targets share `target_processes` processes. `cold_s` is how many seconds a
+    target is cold after a restart.
+    """
 
     profile: Profile
     strategy: str = "adaptive"
@@ -61,7 +64,10 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
-        """Start all processes and wait until every instance is ready."""
+        """Start all processes and wait until every instance is ready.
+
+        Raises `ExperimentError` if one doesn't start or get ready in time.
+        """
         timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
         self._session = aiohttp.ClientSession(timeout=timeout)
         try:
@@ -128,7 +134,7 @@
         names = self._start_stand_ins()
         self._platform = (await self._processes.addresses(PLATFORM))["address"]
         for name in names:
-            await self._note_targets(await self._processes.addresses(name))
+            self._note_targets(await self._processes.addresses(name))
         await self.publish(Version(profiles.FIRST_VERSION, profiles.FIRST_GENERATION))
         instances = [self._start_instance(i) for i in range(self.cfg.profile.instances)]
         await asyncio.gather(*(self._list_instance(*item) for item in instances))
@@ -150,7 +156,7 @@
             names.append(name)
         return names
 
-    async def _note_targets(self, addresses: Mapping[str, Any]) -> None:
+    def _note_targets(self, addresses: Mapping[str, Any]) -> None:
         for name, address in addresses["targets"].items():
             self._targets[name] = address
             self._admin[name] = addresses["admin"]
@@ -158,12 +164,7 @@
     def _start_instance(self, number: int) -> tuple[str, str]:
         places = self.cfg.profile.data_centres
         name, place = f"entry-{number:02d}", places[number % len(places)]
-        path = self._processes.folder / f"{name}.ini"
-        parser = configparser.ConfigParser(interpolation=None)
-        parser.read_dict(self._settings(name, place))
-        with path.open("w") as out:
-            parser.write(out)
-        self._processes.start(name, "run", str(path))
+        self._processes.start_instance(name, self._settings(name, place))
         return name, place
 
     def _settings(self, name: str, place: str) -> dict[str, dict[str, Any]]:
--- a/filbertshelf/bench/processes.py
+++ b/filbertshelf/bench/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import configparser
 import json
 import os
 import signal
@@ -85,7 +86,8 @@
     def start(self, name: str, *args: str) -> Started:
         """Start a process with these arguments of the command line.
 
-        The process has to write its bound addresses to `ready_file(name)`.
+        The process has to write its bound addresses to `ready_file(name)`. Raises
+        `ValueError` if the name was used before.
         """
         if name in self._started:
             raise ValueError(f"process {name!r} was already started")
@@ -105,6 +107,20 @@
         self._started[name] = Started(name, popen, ready_file, log_file)
         return self._started[name]
 
+    def start_instance(
+        self, name: str, sections: Mapping[str, Mapping[str, Any]]
+    ) -> Started:
+        """Start an instance with these sections of its INI file.
+
+        Its `ready_file` setting has to be `ready_file(name)`.
+        """
+        path = self.folder / f"{name}.ini"
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        with path.open("w", encoding="utf-8") as out:
+            parser.write(out)
+        return self.start(name, "run", str(path))
+
     async def addresses(self, name: str) -> Mapping[str, Any]:
         """Return what the process reported once it has started.
 
