Reserve a target for a suspect over all instances

The log shows two fingerprints convicted by the same death: the culprit, run as a suspect by one instance, and an innocent suspect of the other instance on the same target. Ruled out: the check of lost connections (the target was dead), and two suspects of one instance, which never share a target. Change: an instance tells the others which target it reserves, waits 15 ms, and only then runs the suspect; the lower instance id wins a tie. In a partition the halves can still collide. test_convictions_expire now also asserts the wait.

--- a/filbertshelf/coordination/instance.py
+++ b/filbertshelf/coordination/instance.py
@@ -22,7 +22,7 @@
 from filbertshelf.metrics import make_metrics
 from filbertshelf.protocol.bookings import BookingRequest
 from filbertshelf.protocol.caller import CallerRequest
-from filbertshelf.protocol.notices import Topic
+from filbertshelf.protocol.notices import Notice, Topic
 from filbertshelf.protocol.platform import CONFIG, INSTANCES, RowKind, RowState
 from filbertshelf.settings import Settings
 from filbertshelf.state.members import Identity
@@ -64,7 +64,9 @@
             cfg, self.clock, self._client, self.peers, self.membership, self._rng
         )
         self.notices = Notices(self.peers, self.membership)
-        self.quarantine = Quarantine(self.clock, cfg.fleet_key.encode())
+        self.quarantine = Quarantine(
+            self.clock, cfg.fleet_key.encode(), self._announce_reservation
+        )
         self.targets = Targets(
             cfg,
             self.clock,
@@ -91,6 +93,7 @@
         self._was_ready = False
         self.notices.subscribe(Topic.TARGET_DRAINING, self._on_drain_notice)
         self.notices.subscribe(Topic.QUERY_CONVICTED, self._on_conviction_notice)
+        self.notices.subscribe(Topic.TARGET_RESERVED, self._on_reservation_notice)
         self.configuration.subscribe(self._on_document)
 
     def bound(self) -> Mapping[str, object]:
@@ -264,8 +267,15 @@
     def _announce_drain(self, target: str) -> None:
         self.notices.broadcast(Topic.TARGET_DRAINING, target, DRAIN_NOTICE_S)
 
-    def _on_drain_notice(self, target: str, _seconds: float) -> None:
-        self.targets.drain(target, DrainSource.NOTICE)
+    def _on_drain_notice(self, notice: Notice) -> None:
+        self.targets.drain(notice.subject, DrainSource.NOTICE)
+
+    def _announce_reservation(self, target: str, seconds: float) -> None:
+        self.notices.broadcast(Topic.TARGET_RESERVED, target, seconds)
+
+    def _on_reservation_notice(self, notice: Notice) -> None:
+        first = notice.origin < self.cfg.name
+        self.quarantine.reserved_elsewhere(notice.subject, notice.seconds, first)
 
     def _target_died(self, target: str) -> None:
         for conviction in self.quarantine.target_died(target):
@@ -274,9 +284,9 @@
                 Topic.QUERY_CONVICTED, conviction.fingerprint, conviction.seconds
             )
 
-    def _on_conviction_notice(self, fingerprint: str, seconds: float) -> None:
-        self.quarantine.convict(fingerprint, seconds)
-        self._log_conviction(fingerprint, "notice of a peer", seconds)
+    def _on_conviction_notice(self, notice: Notice) -> None:
+        self.quarantine.convict(notice.subject, notice.seconds)
+        self._log_conviction(notice.subject, "notice of a peer", notice.seconds)
 
     def _log_conviction(self, fingerprint: str, source: str, seconds: float) -> None:
         events.emit(
--- a/filbertshelf/coordination/notices.py
+++ b/filbertshelf/coordination/notices.py
@@ -22,7 +22,7 @@
 FAN_OUT = 6
 MAX_REMEMBERED = 4_096
 
-Handler = Callable[[str, float], None]
+Handler = Callable[[Notice], None]
 
 
 class Notices(mode.Service):
@@ -38,12 +38,13 @@
         peers.register(Notice, self._on_notice)
 
     def subscribe(self, topic: Topic, handler: Handler) -> None:
-        """Call `handler(subject, seconds)` for each notice of a peer."""
+        """Call `handler(notice)` for each notice of a peer."""
         self._handlers[topic.value] = handler
 
     def broadcast(self, topic: Topic, subject: str, seconds: float) -> None:
         """Tell all instances, without waiting."""
-        notice = Notice(uuid.uuid4().hex, topic.value, subject, seconds)
+        origin = self._membership.own.id
+        notice = Notice(uuid.uuid4().hex, topic.value, subject, seconds, origin)
         self._remember(notice.id)
         others = [m for m in self._membership.members() if m != self._membership.own]
         if len(others) > DIRECT_MEMBERS:
@@ -56,7 +57,7 @@
         self._remember(notice.id)
         handler = self._handlers.get(notice.topic)
         if handler is not None:
-            handler(notice.subject, notice.seconds)
+            handler(notice)
         if self._membership.size_seen() > DIRECT_MEMBERS:
             others = self._membership.random_peers(FAN_OUT)
             self._outbox.put_nowait((notice, [member.address for member in others]))
--- a/filbertshelf/coordination/scatter.py
+++ b/filbertshelf/coordination/scatter.py
@@ -168,12 +168,15 @@
         """Send one sub-request for the shard, or close the shard."""
         if replicas is None:
             replicas = run.ref.replicas
-        allowed = [name for name in replicas if self._may_start(name)]
+        usable = replicas
+        if self._shared.adaptive:
+            usable = self._shared.targets.usable(replicas, run.tried)
+        allowed = [name for name in usable if self._may_start(name)]
         choice = self._shared.targets.choose(allowed, run.tried)
         if choice is not None:
             self._log_choice(run, choice, why)
             self._submit(run, choice.target)
-        elif len(allowed) < len(replicas):
+        elif len(allowed) < len(usable):
             self._add_timer(BACKOFF_S, Timer.QUARANTINE, run)
         else:
             self._give_up(run)
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -298,6 +298,17 @@
             if name in entries and entries[name].state.latency_s <= seconds
         ]
 
+    def usable(self, names: Sequence[str], exclude: Collection[str]) -> list[str]:
+        """Return the targets that may get an attempt and are not excluded."""
+        entries = self._entries
+        return [
+            name
+            for name in names
+            if name not in exclude
+            and name in entries
+            and entries[name].state.available()
+        ]
+
     def lowest_latency(self, names: Sequence[str]) -> float:
         """Return the lowest usual latency in seconds, infinite if none is known."""
         entries = self._entries
--- a/filbertshelf/protocol/notices.py
+++ b/filbertshelf/protocol/notices.py
@@ -14,6 +14,7 @@
 
     TARGET_DRAINING = "target_draining"
     QUERY_CONVICTED = "query_convicted"
+    TARGET_RESERVED = "target_reserved"
 
 
 @message("notice")
@@ -21,7 +22,8 @@
 class Notice:
     """A fact that every instance should know within a second.
 
-    `subject` is a target or a fingerprint; `seconds` says how long it holds. The
+    `subject` is a target or a fingerprint; `seconds` says how long it holds; `origin`
+    is the id of the instance that told it first. The
     topic is text, so that an instance of another version can pass it on unread.
     """
 
@@ -29,6 +31,7 @@
     topic: str
     subject: str
     seconds: float
+    origin: str = ""
 
 
 @message("ask-tokens")
--- a/filbertshelf/state/quarantine.py
+++ b/filbertshelf/state/quarantine.py
@@ -6,7 +6,7 @@
 import hashlib
 import json
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -29,6 +29,15 @@
 MAX_SUSPECTS = 4_096
 """Suspects and convictions that are remembered; the oldest is forgotten first."""
 
+RESERVE_S = 5.0
+"""How long a target is reserved for a suspect, if the end is not told earlier."""
+
+RESERVE_WAIT_S = 0.015
+"""How long a suspect waits after its reservation was sent to the other instances.
+
+Several times the delay between data centres of one region.
+"""
+
 _DIGEST_BYTES = 16
 
 
@@ -41,6 +50,14 @@
     CONVICTED = "crashed a target that ran nothing else"
 
 
+@attrs.frozen
+class Reservation:
+    """A target that a suspect is about to run on, and since when."""
+
+    target: str
+    at: float
+
+
 @attrs.frozen
 class Conviction:
     """A fingerprint to refuse for some seconds, for the log and the notice."""
@@ -64,8 +81,11 @@
     before it is convicted, and 1 in each `CONVICTION_S` after that while it is
     remembered.
 
+    Suspects of different instances don't share a target, as long as the instances
+    reach each other.
+
     What remains: a request whose second target also dies for another reason is
-    refused for `CONVICTION_S`; the other reason may be a request of another
+    refused for `CONVICTION_S`; the other reason may be a new request of another
     instance. A request that crashes only some targets can answer first and is then
     sent to all shards at once. A suspect waits while a target is never free of other
     work of this instance.
@@ -79,12 +99,24 @@
         "_guarded",
         "_key",
         "_lost",
+        "_on_reserve",
+        "_reservations",
+        "_reserved_elsewhere",
         "_running",
         "_suspects",
     )
 
-    def __init__(self, clock: Clock, key: bytes):
+    def __init__(
+        self,
+        clock: Clock,
+        key: bytes,
+        on_reserve: Callable[[str, float], None] = lambda target, seconds: None,
+    ):
         self._clock = clock
+        # Told of own reservations and, with 0.0 seconds, of their end.
+        self._on_reserve = on_reserve
+        self._reservations: OrderedDict[str, Reservation] = OrderedDict()
+        self._reserved_elsewhere: dict[str, float] = {}
         self._key = hashlib.blake2b(key).digest()
         self._cleared: OrderedDict[str, None] = OrderedDict()
         self._suspects: OrderedDict[str, float] = OrderedDict()
@@ -129,9 +161,57 @@
         if verdict is Verdict.CONVICTED:
             return False
         if verdict is Verdict.GUARDED:
-            return fp not in self._flights and target not in self._running
+            free = fp not in self._flights and target not in self._running
+            return free and self._holds(target, fp)
         return not canary or fp not in self._flights
 
+    def reserved_elsewhere(self, target: str, seconds: float, first: bool) -> None:
+        """Record that another instance reserved the target for a suspect.
+
+        `first` says whether the other instance's reservation goes before one of this
+        instance that has not started yet. 0.0 seconds end the other's reservation.
+        """
+        if not seconds:
+            self._reserved_elsewhere.pop(target, None)
+            return
+        waiting = [
+            fp
+            for fp, held in self._reservations.items()
+            if held.target == target and fp not in self._flights
+        ]
+        if waiting and not first:
+            return
+        for fp in waiting:
+            del self._reservations[fp]
+        until = self._clock.monotonic() + min(seconds, RESERVE_S)
+        self._reserved_elsewhere[target] = until
+
+    def _holds(self, target: str, fp: str) -> bool:
+        """Return whether the target is reserved for the suspect; else reserve it.
+
+        Two suspects of different instances on one target would both be convicted by
+        its death.
+        """
+        now = self._clock.monotonic()
+        if self._reserved_elsewhere.get(target, now) > now:
+            return False
+        held = self._reservations.get(fp)
+        if held is not None and now - held.at < RESERVE_S:
+            return held.target == target and now - held.at >= RESERVE_WAIT_S
+        if any(other.target == target for other in self._reservations.values()):
+            return False
+        self._reservations.pop(fp, None)
+        self._reservations[fp] = Reservation(target, now)
+        _trim(self._reservations, MAX_SUSPECTS)
+        self._on_reserve(target, RESERVE_S)
+        return False
+
+    def _end_reservation(self, target: str, fp: str) -> None:
+        held = self._reservations.get(fp)
+        if held is not None and held.target == target:
+            del self._reservations[fp]
+            self._on_reserve(target, 0.0)
+
     def started(self, target: str, fp: str) -> None:
         """Record an attempt that `may_start` allowed."""
         _add(self._running.setdefault(target, {}), fp)
@@ -146,6 +226,8 @@
         if not table[target]:
             del table[target]
         _remove(self._flights, fp)
+        if self._reservations:
+            self._end_reservation(target, fp)
         if self._guarded.get(target) == fp and fp not in self._running.get(target, ()):
             del self._guarded[target]
         if answered:
--- a/test/state/test_quarantine.py
+++ b/test/state/test_quarantine.py
@@ -168,9 +168,39 @@
     assert not q.may_start("t1", "p")
     clock.advance(0.2)
     assert q.verdict("p") is Verdict.GUARDED
+    assert not q.may_start("t1", "p")
+    clock.advance(quarantine.RESERVE_WAIT_S)
     assert q.may_start("t1", "p")
 
 
+def test_suspects_of_two_instances_do_not_share_a_target():
+    # Guards against convicting an innocent suspect that ran beside the culprit of
+    # another instance; both were convicted by the same death.
+    clock = ManualClock()
+    sent = {"a": [], "b": []}
+    one, two = (
+        Quarantine(clock, b"k" * 16, lambda *args, name=name: sent[name].append(args))
+        for name in sent
+    )
+    one.convict("p", 0)
+    two.convict("i", 0)
+    assert not one.may_start("t1", "p")
+    assert not two.may_start("t1", "i")
+    assert sent == {"a": [("t1", quarantine.RESERVE_S)]} | {"b": sent["a"]}
+    one.reserved_elsewhere("t1", quarantine.RESERVE_S, first=False)
+    two.reserved_elsewhere("t1", quarantine.RESERVE_S, first=True)
+    clock.advance(quarantine.RESERVE_WAIT_S)
+    assert one.may_start("t1", "p")
+    assert not two.may_start("t1", "i")
+    one.started("t1", "p")
+    one.finished("t1", "p", False)
+    assert sent["a"][-1] == ("t1", 0.0)
+    two.reserved_elsewhere("t1", 0.0, first=True)
+    assert not two.may_start("t1", "i")
+    clock.advance(quarantine.RESERVE_WAIT_S)
+    assert two.may_start("t1", "i")
+
+
 def test_memory_is_bounded(monkeypatch):
     # Guards against growth with the number of different requests.
     monkeypatch.setattr(quarantine, "MAX_CLEARED", 10)
