Heed an instance list that came before the publication

Cause, found by reading: the list's leaving targets were applied to the links that existed then; a target that a later publication brought got work. After: the leaving targets are kept and applied to new links. Test: fails without the change (not draining), passes with it.

--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -104,6 +104,7 @@
         self._rng = rng
         self._metrics = metrics
         self._entries: dict[str, Entry] = {}
+        self._leaving: frozenset[str] = frozenset()
         self._inbox: asyncio.Queue[Publication] = asyncio.Queue()
         self._choose = CHOOSERS[cfg.strategy]
         self._adaptive = cfg.strategy == "adaptive"
@@ -164,6 +165,8 @@
             lambda report: self._on_report(target.name, report),
         )
         self._entries[target.name] = entry
+        if target.name in self._leaving:
+            self.drain(target.name, DrainSource.LIST)
         await self.add_runtime_dependency(entry.link)
         self.add_future(entry.link.warm_up())
 
@@ -252,7 +255,11 @@
         entry.state.observe_report(report.load, report.draining)
 
     def apply_list(self, leaving: Collection[str]) -> None:
-        """Drain the targets that the instance list says are leaving."""
+        """Drain the targets that the instance list says are leaving.
+
+        The list may name targets that a later publication brings.
+        """
+        self._leaving = frozenset(leaving)
         for name, entry in self._entries.items():
             if name in leaving:
                 self.drain(name, DrainSource.LIST)
--- a/test/promises/test_leaving.py
+++ b/test/promises/test_leaving.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from filbertshelf.standins.target_config import Faults
+from test.fleet import SHARDS
 
 FEW_SECONDS = 3.0
 
@@ -113,3 +114,20 @@
     assert (refusal["outcome"], refusal["code"]) == ("not_run", "stopping")
     assert (await slow)[1]["outcome"] == "whole"
     await stopping
+
+
+async def test_a_new_instance_heeds_a_list_that_came_before_the_publication(fleet):
+    # Guards against work for a leaving target from an instance that reads the list
+    # first: the list was applied to no target and then forgotten.
+    await fleet.start(instances=1)
+    fleet.leave_target("t0")
+    targets = fleet.instances["i0"].targets
+    await until_draining(fleet, "t0")
+    doc = fleet.publication()
+    del doc["targets"]["t0"]
+    doc["services"]["racks"]["shards"] = {shard: ["t1"] for shard in SHARDS}
+    fleet.platform.publish(doc)
+    await fleet.until(lambda: "t0" not in targets.states())
+    fleet.publish()
+    await fleet.until(lambda: "t0" in targets.states())
+    assert targets.states()["t0"].draining
