--- a/filbertshelf/coordination/instance.py
+++ b/filbertshelf/coordination/instance.py
@@ -271,6 +271,7 @@
         self.targets.drain(notice.subject, DrainSource.NOTICE)
 
     def _announce_reservation(self, target: str, seconds: float) -> None:
+        events.emit(events.TARGET_RESERVED, target=target, seconds=seconds)
         self.notices.broadcast(Topic.TARGET_RESERVED, target, seconds)
 
     def _on_reservation_notice(self, notice: Notice) -> None:
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -242,6 +242,7 @@
         # All calls in flight are lost with a target; they are one death.
         if call.started_at > entry.died_at:
             entry.died_at = self._clock.monotonic()
+            events.emit(events.TARGET_DIED, target=entry.target.name)
             self.on_died(entry.target.name)
 
     def _on_report(self, name: str, report: Report) -> None:
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -192,6 +192,14 @@
     303, "target-serving", "A draining target serves again.", "target"
 )
 
+TARGET_DIED = define(
+    304,
+    "target-died",
+    "A connection was lost and the target's address accepts no other.",
+    "target",
+    level=Level.WARNING,
+)
+
 # 4xx: configuration.
 CONFIG_ACCEPTED = define(
     400,
@@ -516,3 +524,10 @@
     "seconds",
     level=Level.ERROR,
 )
+TARGET_RESERVED = define(
+    801,
+    "target-reserved",
+    "A suspected query will run alone on the target; 0 seconds end this.",
+    "target",
+    "seconds",
+)
