Serve the users' platform through the adapter: the thin whole path

A gateway serves routes by host and path over lean HTTP connections, gathers shard answers, hedges within the fleet's retry budget, and learns the configuration and the targets from the platform's store or from peers. filbertshelf/platform holds names, formats and calls.

--- /dev/null
+++ b/filbertshelf/coordination/feed.py
@@ -0,0 +1,327 @@
+"""Learns the configuration and the targets from the platform or from peers."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import attrs
+import mode
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.coordination.membership import Membership
+from filbertshelf.errors import (
+    FilbertshelfError,
+    HistoryLostError,
+    PlatformError,
+)
+from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.protocol.feed import FeedNews, FeedWanted
+from filbertshelf.state.directory import Directory, TargetChange
+from filbertshelf.state.members import Address, Member, Status
+from filbertshelf.state.news import ConfigText, News
+from filbertshelf.state.routing import RouteTable
+from filbertshelf.transport.peers import Peers, Sender
+
+POLL_S = 0.7
+"""The age at which the first instance asks the platform again."""
+
+RANK_STEP_S = 0.35
+"""Each further instance waits so much longer for the news of those before it."""
+
+MAX_RANK = 3
+"""The rank from which on all wait equally long, so that none is blind for long."""
+
+POLL_JITTER_S = 0.1
+"""The random part of a wait, so that instances of one rank don't ask at once."""
+
+ASK_TIMEOUT_S = 0.5
+"""The wait for a peer's news."""
+
+MAX_TOLD = 48
+"""Peers that are told directly; others learn from those."""
+
+TOLD_ON = 3
+"""Peers that an instance tells of news that came from a peer, in a larger fleet."""
+
+OUTAGE_S = 2.5
+"""After so long without the platform its list of targets may lack living ones."""
+
+REMOVAL_HOLD_S = 2.2
+"""How long a target that is missing after an outage may still come back."""
+
+FIRST_RETRY_S = 0.2
+HIGHEST_RETRY_S = 1.0
+"""The bounds of the wait after a call that failed."""
+
+
+class PlatformSource(Protocol):
+    """What is needed of the platform's client."""
+
+    async def snapshot(self) -> News:
+        """Return all that the platform holds; raises `PlatformError`."""
+
+    async def changes(self, after: int) -> News:
+        """Return what changed above a revision, maybe nothing.
+
+        Raises `HistoryLostError` if the platform no longer knows, and another
+        `PlatformError` if it can't be asked.
+        """
+
+
+Decoder = Callable[[bytes], RouteTable]
+"""Returns the routes in a configuration; raises `PlatformContentError`."""
+
+
+@attrs.frozen
+class FeedListener:
+    """Who acts on the news."""
+
+    on_table: Callable[[RouteTable], None]
+    on_targets: Callable[[Sequence[TargetChange]], None]
+
+
+class Feed(mode.Service):
+    """Keeps the configuration and the list of targets up to date.
+
+    Any instance may ask the platform; one that hears fresh news from a peer doesn't
+    need to. So usually one instance asks and tells the others, and if it can't, the
+    next one does.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        clock: Clock,
+        rng: random.Random,
+        source: PlatformSource,
+        decode: Decoder,
+        peers: Peers,
+        membership: Membership,
+        listener: FeedListener,
+    ):
+        super().__init__()
+        self.table: RouteTable | None = None
+        self.directory = Directory()
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._source = source
+        self._decode = decode
+        self._peers = peers
+        self._membership = membership
+        self._listener = listener
+        self._config: ConfigText | None = None
+        self._fresh_at = -math.inf
+        self._answered_at = -math.inf
+        self._unsure_until = -math.inf
+        self._reread = True
+        self._failures = 0
+        peers.register(FeedNews, self._on_news)
+        peers.register(FeedWanted, self._on_wanted)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether a configuration and the targets are known."""
+        return self.table is not None and self.directory.revision > 0
+
+    def age_s(self) -> float:
+        """Return how old the newest confirmation by the platform is, in seconds."""
+        return self._clock.monotonic() - self._fresh_at
+
+    # Asking the platform.
+
+    @mode.Service.task
+    async def _poll_loop(self) -> None:
+        while not self.should_stop:
+            wait = self._wait_s()
+            if wait > 0:
+                await self._clock.sleep(wait)
+                continue
+            try:
+                await self._poll()
+            except PlatformError as exc:
+                await self._poll_failed(exc)
+
+    def _wait_s(self) -> float:
+        """Return for how many seconds the news of others is awaited."""
+        if self._reread:
+            return 0.0
+        rank = min(MAX_RANK, self._rank())
+        due = self._fresh_at + POLL_S + rank * RANK_STEP_S
+        return due - self._clock.monotonic()
+
+    def _rank(self) -> int:
+        """Return how many instances ask before this one, the most if none is known."""
+        if self._membership.size_seen() == 1:
+            return MAX_RANK
+        own = self._cfg.instance.name
+        alive = (m for m in self._membership.members() if m.status is Status.ALIVE)
+        return sum(member.id < own for member in alive)
+
+    async def _poll(self) -> None:
+        asked_at = self._clock.monotonic()
+        if self._reread:
+            news = await self._source.snapshot()
+        else:
+            try:
+                news = await self._source.changes(self.directory.revision)
+            except HistoryLostError:
+                events.emit(
+                    events.PLATFORM_HISTORY_LOST, revision=self.directory.revision
+                )
+                self._reread = True
+                return
+        self._answered(asked_at)
+        unsure = asked_at < self._unsure_until
+        self._take(news, "platform", unsure)
+        self._fresh_at = max(self._fresh_at, asked_at)
+        self._tell(news, unsure)
+
+    def _answered(self, now: float) -> None:
+        if self._failures:
+            events.emit(
+                events.PLATFORM_RECOVERED, document="feed", failures=self._failures
+            )
+        away = now - self._answered_at > OUTAGE_S
+        if away and self._failures and self.directory.revision:
+            self._unsure_until = now + REMOVAL_HOLD_S
+        self._answered_at = now
+        self._failures = 0
+
+    async def _poll_failed(self, exc: PlatformError) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            events.emit(events.PLATFORM_FAILED, reason=f"feed: {exc}")
+        if not self.ready:
+            await self._ask_any()
+        longest = min(HIGHEST_RETRY_S, FIRST_RETRY_S * 2**self._failures)
+        await self._clock.sleep(longest * self._rng.uniform(0.5, 1.0))
+
+    # Peers.
+
+    def _tell(self, news: News, unsure: bool) -> None:
+        """Send the news to the peers, also if it only says that nothing changed."""
+        told = self._membership.random_peers(MAX_TOLD)
+        msg = FeedNews.of(news, self._config_revision(), self.age_s(), unsure)
+        self._send(told, msg)
+
+    def _send(self, members: Sequence[Member], msg: FeedNews) -> None:
+        for member in members:
+            self.add_future(self._notify(member.address, msg))
+
+    async def _notify(self, address: Address, msg: FeedNews) -> None:
+        try:
+            await self._peers.notify(address, msg)
+        except FilbertshelfError as exc:
+            # The peer asks by itself once its news is too old.
+            self.log.debug("news to %s was lost: %s", address, exc)
+
+    async def _on_news(self, sender: Sender, msg: FeedNews) -> None:
+        news = msg.news()
+        if news.directory.since > self.directory.revision or self._lacks_config(msg):
+            await self._ask(sender.address)
+            return
+        is_news = news.directory.revision > self.directory.revision
+        self._take(news, sender.id, msg.unsure)
+        self._fresh_at = max(self._fresh_at, self._clock.monotonic() - msg.age_s)
+        if is_news and self._membership.size_seen() > MAX_TOLD:
+            onward = attrs.evolve(msg, age_s=self.age_s())
+            self._send(self._membership.random_peers(TOLD_ON), onward)
+
+    def _lacks_config(self, msg: FeedNews) -> bool:
+        return not msg.config and msg.config_revision > self._config_revision()
+
+    def _config_revision(self) -> int:
+        return self._config.revision if self._config else 0
+
+    async def _on_wanted(self, sender: Sender, msg: FeedWanted) -> FeedNews | None:
+        if not self.ready:
+            return None
+        config = self._config
+        if config is not None and config.revision <= msg.config_revision:
+            config = None
+        news = News(self.directory.since(msg.revision), config)
+        unsure = self._clock.monotonic() < self._unsure_until
+        return FeedNews.of(news, self._config_revision(), self.age_s(), unsure)
+
+    async def _ask_any(self) -> None:
+        """Ask a member, and one of the addresses in the settings."""
+        asked = [member.address for member in self._membership.random_peers(1)]
+        known = [a for a in self._cfg.instance.peers if a != self._peers.address]
+        if known:
+            asked.append(self._rng.choice(known))
+        await asyncio.gather(*(self._ask(address) for address in asked))
+
+    async def _ask(self, address: Address) -> None:
+        wanted = FeedWanted(self.directory.revision, self._config_revision())
+        try:
+            reply = await self._peers.request(address, wanted, ASK_TIMEOUT_S)
+        except FilbertshelfError as exc:
+            self.log.debug("%s did not answer: %s", address, exc)
+            return
+        if isinstance(reply, FeedNews):
+            self._take(reply.news(), f"{address[0]}:{address[1]}", reply.unsure)
+            heard = self._clock.monotonic() - reply.age_s
+            self._fresh_at = max(self._fresh_at, heard)
+
+    # Taking news.
+
+    def _take(self, news: News, source: str, unsure: bool) -> None:
+        if news.config is not None:
+            self._take_config(news.config, source)
+        if self.directory.fits(news.directory):
+            self._reread = False
+        changes = self.directory.apply(news.directory)
+        if not changes:
+            return
+        removed = [change for change in changes if change.target is None]
+        if unsure and removed:
+            kept = [change for change in changes if change.target is not None]
+            self.add_future(self._remove_later(removed))
+            self._listener.on_targets(kept)
+        else:
+            self._listener.on_targets(changes)
+
+    async def _remove_later(self, removed: Sequence[TargetChange]) -> None:
+        """Remove targets that are still missing some time after an outage."""
+        await self._clock.sleep(REMOVAL_HOLD_S)
+        listed = self.directory.targets()
+        gone = [change for change in removed if change.id not in listed]
+        self._listener.on_targets(gone)
+
+    def _take_config(self, config: ConfigText, source: str) -> None:
+        if self._config is not None and config.revision <= self._config.revision:
+            return
+        try:
+            table = self._decode(config.text)
+        except PlatformError as exc:
+            events.emit(
+                events.CONFIG_REFUSED,
+                document="routes",
+                revision=config.revision,
+                reason=str(exc),
+            )
+            return
+        if self.table is not None and table.version < self.table.version:
+            events.emit(
+                events.CONFIG_OLDER,
+                document="routes",
+                offered=str(table.version),
+                held=str(self.table.version),
+            )
+            return
+        self._config = config
+        self.table = table
+        events.emit(
+            events.CONFIG_ACCEPTED,
+            document="routes",
+            revision=table.version,
+            digest=str(config.revision),
+            source=source,
+        )
+        self._listener.on_table(table)
--- /dev/null
+++ b/filbertshelf/coordination/listed_targets.py
@@ -0,0 +1,248 @@
+"""The targets that the platform lists: their connections and what was seen of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+import attrs
+
+from filbertshelf import events
+from filbertshelf.clock import Clock
+from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.protocol.dialect import Verdict
+from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.outcome import Reason, Result
+from filbertshelf.state.publication import Target
+from filbertshelf.state.replicas import TargetState
+from filbertshelf.state.retry_window import RetryWindow
+from filbertshelf.state.routing import RouteTable
+from filbertshelf.state.selection import Candidate, choose_nearest
+from filbertshelf.transport.http1.client import ConnectionPool, End, Exchange
+
+CONNECTION_SHARE = 0.8
+"""The part of a target's connections that is used; a busy target accepts fewer."""
+
+DEFAULT_CONNECTIONS = 32
+"""The connections of a target whose service no configuration has named yet."""
+
+WARM_UP_SPREAD_S = 1.0
+"""New targets are connected to within this time, not by all instances at once."""
+
+UNKNOWN_FLEET = 64
+"""The size of the fleet that limits are divided by until the members are known."""
+
+_REASONS: Mapping[End, tuple[Result, Reason]] = {
+    End.NOT_CONNECTED: (Result.NOT_RUN, Reason.CONNECT_FAILED),
+    End.NOT_SENT: (Result.NOT_RUN, Reason.NO_CAPACITY),
+    End.LOST: (Result.UNKNOWN, Reason.CONNECTION_LOST),
+    End.MALFORMED: (Result.UNKNOWN, Reason.BAD_RESPONSE),
+    End.CANCELLED: (Result.UNKNOWN, Reason.CANCELLED),
+}
+
+
+@attrs.define(eq=False)
+class TargetEntry:
+    """One listed target with its connections and observations."""
+
+    listed: ListedTarget
+    pool: ConnectionPool
+    candidate: Candidate
+    running: dict[Exchange, float] = attrs.field(factory=dict)
+
+    @property
+    def id(self) -> str:
+        """Return the target's id."""
+        return self.listed.id
+
+    @property
+    def state(self) -> TargetState:
+        """Return what was observed of the target."""
+        return self.candidate.state
+
+
+@attrs.define(eq=False)
+class ServiceTargets:
+    """The targets of one service and the budget for extra sub-requests to it."""
+
+    name: str
+    budget: RetryWindow
+    connections: int = DEFAULT_CONNECTIONS
+    entries: dict[str, TargetEntry] = attrs.field(factory=dict)
+
+
+class ListedTargets:
+    """Owns the connections to all listed targets, grouped by service."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        clock: Clock,
+        rng: random.Random,
+        call_later: Callable[[float, Callable[[], None]], object],
+    ):
+        """`call_later` runs a function after some seconds, as the event loop does."""
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._call_later = call_later
+        self._services: dict[str, ServiceTargets] = {}
+        self._entries: dict[str, TargetEntry] = {}
+        self._fleet = UNKNOWN_FLEET
+
+    # What changes the set of targets.
+
+    def set_fleet(self, size: int) -> None:
+        """Divide connections and budgets by the highest number of instances."""
+        if size == self._fleet:
+            return
+        self._fleet = size
+        for service in self._services.values():
+            self._apply_limits(service)
+
+    def apply_table(self, table: RouteTable) -> None:
+        """Take the connection limits of a new version of the configuration."""
+        for named in table.services.values():
+            service = self._service(named.name)
+            service.connections = named.connections
+            self._apply_limits(service)
+
+    def apply(self, changes: Iterable[TargetChange]) -> None:
+        """Add, replace and remove targets."""
+        for change in changes:
+            if change.target is None:
+                self.remove(change.id, "the platform no longer lists it")
+            else:
+                self._place(change.target)
+
+    def remove(self, id_: str, reason: str) -> None:
+        """Give a target no more work; what runs there goes on."""
+        entry = self._entries.pop(id_, None)
+        if entry is None:
+            return
+        self._services[entry.listed.service].entries.pop(id_, None)
+        entry.pool.close()
+        events.emit(events.TARGET_REMOVED, target=id_, reason=reason)
+
+    def _place(self, listed: ListedTarget) -> None:
+        entry = self._entries.get(listed.id)
+        if entry is not None and _is_same_process(entry.listed, listed):
+            self._update(entry, listed)
+            return
+        if entry is not None:
+            self.remove(listed.id, "another process has its id")
+        self._add(listed)
+
+    def _update(self, entry: TargetEntry, listed: ListedTarget) -> None:
+        if listed.draining and not entry.listed.draining:
+            events.emit(
+                events.TARGET_DRAINING, target=listed.id, source="platform listing"
+            )
+        entry.listed = listed
+        entry.state.draining = listed.draining
+
+    def _add(self, listed: ListedTarget) -> None:
+        service = self._service(listed.service)
+        host, _, port = listed.address.rpartition(":")
+        pool = ConnectionPool((host, int(port)), 1, self._clock)
+        target = Target(
+            listed.id, listed.address, listed.data_centre, {}, listed.slots, 0
+        )
+        state = TargetState(target, self._clock, self._rng)
+        state.draining = listed.draining
+        local = listed.data_centre == self._cfg.instance.data_centre
+        entry = TargetEntry(listed, pool, Candidate(state, local))
+        service.entries[listed.id] = entry
+        self._entries[listed.id] = entry
+        self._apply_limits(service)
+        events.emit(events.TARGET_ADDED, target=listed.id, address=listed.address)
+        self._call_later(self._rng.random() * WARM_UP_SPREAD_S, pool.warm_up)
+
+    def _service(self, name: str) -> ServiceTargets:
+        service = self._services.get(name)
+        if service is None:
+            budget = RetryWindow(self._cfg.retries)
+            service = self._services[name] = ServiceTargets(name, budget)
+            self._apply_limits(service)
+        return service
+
+    def _apply_limits(self, service: ServiceTargets) -> None:
+        quota = max(1, int(CONNECTION_SHARE * service.connections / self._fleet))
+        for entry in service.entries.values():
+            entry.pool.quota = quota
+        service.budget.set_fleet(self._fleet)
+
+    # What requests use.
+
+    def count_request(self, service: str, now: float) -> None:
+        """Count a request for a service towards its retry budget."""
+        self._service(service).budget.request(now)
+
+    def budget(self, service: str) -> RetryWindow:
+        """Return the budget for extra sub-requests to a service."""
+        return self._service(service).budget
+
+    def known(self, service: str) -> bool:
+        """Return whether any target of the service is listed."""
+        found = self._services.get(service)
+        return found is not None and bool(found.entries)
+
+    def choose(
+        self, service: str, exclude: Collection[str], now: float
+    ) -> TargetEntry | None:
+        """Return the target for a sub-request, or None if none can take it."""
+        found = self._services.get(service)
+        if found is None:
+            return None
+        for entry in found.entries.values():
+            candidate = entry.candidate
+            candidate.has_room = entry.pool.has_room()
+            candidate.oldest_start = next(iter(entry.running.values()), None)
+        candidates = [entry.candidate for entry in found.entries.values()]
+        chosen = choose_nearest(candidates, exclude, now, self._rng)
+        return None if chosen is None else found.entries[chosen.state.name]
+
+    def send(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
+        """Start an exchange with a target."""
+        entry.running[exchange] = now
+        entry.state.started()
+        entry.pool.submit(exchange)
+
+    def ended(
+        self, entry: TargetEntry, exchange: Exchange, verdict: Verdict, now: float
+    ) -> None:
+        """Record the end of an exchange."""
+        started = entry.running.pop(exchange, now)
+        entry.state.finished(verdict.result, verdict.reason, now - started)
+        if verdict.other_target:
+            self.remove(entry.id, "another target has its address")
+
+    def cancel(self, entry: TargetEntry, exchange: Exchange) -> None:
+        """Give up an exchange and close its connection."""
+        entry.pool.cancel(exchange)
+
+    def states(self) -> dict[str, TargetState]:
+        """Return the observations of all targets by id."""
+        return {id_: entry.state for id_, entry in self._entries.items()}
+
+    def connections_opened(self) -> int:
+        """Return how many connections were opened to the targets listed now."""
+        return sum(entry.pool.opened for entry in self._entries.values())
+
+    def close(self) -> None:
+        """Close the connections of all targets."""
+        for entry in self._entries.values():
+            entry.pool.close()
+
+
+def verdict_without_response(end: End) -> Verdict:
+    """Return what is known of an exchange that ended without a response."""
+    return Verdict(*_REASONS[end])
+
+
+def _is_same_process(one: ListedTarget, two: ListedTarget) -> bool:
+    return (one.address, one.service, one.started_ms) == (
+        two.address,
+        two.service,
+        two.started_ms,
+    )
--- /dev/null
+++ b/filbertshelf/coordination/routed.py
@@ -0,0 +1,104 @@
+"""What the forwards and gathers of a gateway share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from filbertshelf.clock import Clock
+from filbertshelf.coordination.listed_targets import ListedTargets
+from filbertshelf.protocol.dialect import HeaderNames, Judge
+from filbertshelf.protocol.heads import Field, Response, end_to_end, render_fields
+from filbertshelf.state.hedging import HedgeTimer
+from filbertshelf.state.routing import Route, RouteTable
+from filbertshelf.transport.http1.server import Request
+
+MAX_TIMERS = 1_024
+"""Routes whose latencies are kept; a configuration with more starts to learn anew."""
+
+
+class Timer(Protocol):
+    """A call that is due later."""
+
+    def cancel(self) -> None:
+        """Don't make the call."""
+
+
+CallLater = Callable[[float, Callable[[], None]], Timer]
+
+
+@attrs.define(eq=False)
+class Tools:
+    """The services that requests use; one object for all requests."""
+
+    clock: Clock
+    call_later: CallLater
+    targets: ListedTargets
+    names: HeaderNames
+    judge: Judge
+    _hedges: dict[str, HedgeTimer] = attrs.field(factory=dict)
+
+    def hedge_timer(self, route: Route) -> HedgeTimer:
+        """Return what was learned of a route's latencies."""
+        timer = self._hedges.get(route.name)
+        if timer is None:
+            if len(self._hedges) >= MAX_TIMERS:
+                self._hedges.clear()
+            timer = self._hedges[route.name] = HedgeTimer(route.aim_s, self.clock)
+        return timer
+
+
+@attrs.define(eq=False)
+class RoutedRequest:
+    """A caller's request with the route it takes; times are monotonic seconds."""
+
+    req: Request
+    id: bytes
+    route: Route
+    table: RouteTable
+    deadline: float
+    """When the caller stops waiting, or the route's time is up."""
+    _prefix: bytes = b""
+
+    @classmethod
+    def make(
+        cls,
+        req: Request,
+        request_id: bytes,
+        route: Route,
+        table: RouteTable,
+        deadline: float,
+        names: HeaderNames,
+    ) -> RoutedRequest:
+        """Return the request with the part of its head that all targets get."""
+        fields: list[Field] = end_to_end(req.fields, names.set_here())
+        if req.body or req.method not in (b"GET", b"HEAD", b"DELETE"):
+            fields.append((b"Content-Length", b"%d" % len(req.body)))
+        first = b"%b %b HTTP/1.1\r\n" % (req.method, req.target)
+        routed = cls(req, request_id, route, table, deadline)
+        routed._prefix = first + render_fields(fields)
+        return routed
+
+    def head_for(self, target_id: str, names: HeaderNames, now: float) -> bytes:
+        """Return the head for one target, with the time that is left."""
+        left_ms = max(1, int((self.deadline - now) * 1000))
+        return b"%b%b: %d\r\n%b: %b\r\n\r\n" % (
+            self._prefix,
+            names.deadline_ms,
+            left_ms,
+            names.expected_target,
+            target_id.encode(),
+        )
+
+
+@attrs.frozen(eq=False)
+class Result:
+    """The response to a request and what its log line says."""
+
+    response: Response
+    outcome: str
+    sub_requests: int
+    extra: int
+    missing: tuple[str, ...] = ()
--- /dev/null
+++ b/filbertshelf/coordination/shard_call.py
@@ -0,0 +1,211 @@
+"""All attempts to get one answer from the targets of one service."""
+
+from __future__ import annotations
+
+import functools
+from typing import Protocol
+
+from filbertshelf import events
+from filbertshelf.coordination.listed_targets import (
+    TargetEntry,
+    verdict_without_response,
+)
+from filbertshelf.coordination.routed import RoutedRequest, Timer, Tools
+from filbertshelf.protocol.dialect import Verdict
+from filbertshelf.state.hedging import BUDGET_RESERVE
+from filbertshelf.state.outcome import Reason, Result
+from filbertshelf.state.routing import Repeat
+from filbertshelf.transport.http1.client import End, Exchange
+
+MAX_SENDS = 4
+"""Sub-requests for one shard of one request, hedged ones included."""
+
+BACKOFF_S = 0.03
+"""The wait before a target that refused is asked again."""
+
+MIN_LEFT_S = 0.01
+"""With less time left no target can answer."""
+
+
+class Listener(Protocol):
+    """Who waits for the answer."""
+
+    def answered(self, call: ShardCall) -> None:
+        """Take the answer."""
+
+    def failed(self, call: ShardCall) -> None:
+        """Take note that the call has ended without an answer."""
+
+
+class ShardCall:
+    """Asks targets of one service until one answers or no attempt is left."""
+
+    def __init__(
+        self, tools: Tools, job: RoutedRequest, service: str, listener: Listener
+    ):
+        self.service = service
+        self.reason = Reason.NO_REPLICA
+        self.answer: Exchange | None = None
+        self.verdict: Verdict | None = None
+        self.failure: Exchange | None = None
+        """The last complete response that is a target's own failure."""
+        self.may_have_run = False
+        self.closed = False
+        self.sends = 0
+        self._tools = tools
+        self._job = job
+        self._listener = listener
+        self._repeatable = job.route.repeat is Repeat.IDEMPOTENT
+        self._tried: set[str] = set()
+        self._sent_to: set[str] = set()
+        self._running: dict[Exchange, TargetEntry] = {}
+        self._retry: Timer | None = None
+
+    @property
+    def running(self) -> int:
+        """Return how many exchanges with targets have not ended."""
+        return len(self._running)
+
+    def start(self, now: float) -> None:
+        """Send the first attempt."""
+        self._tools.targets.count_request(self.service, now)
+        if self._attempt(now):
+            self.reason = Reason.TIMEOUT
+        else:
+            self._close()
+
+    def hedge(self, now: float) -> bool:
+        """Ask a second target, if that is allowed, and return whether it was."""
+        if self.closed or not self._repeatable or len(self._running) != 1:
+            return False
+        (exchange, entry), *_ = self._running.items()
+        entry.state.observe_waiting(now - exchange.started_at)
+        budget = self._tools.targets.budget(self.service)
+        if budget.left(now) < 1.0 + BUDGET_RESERVE or not self._may_send_more():
+            return False
+        return self._attempt(now, extra=True)
+
+    def stop(self) -> None:
+        """Send nothing more; what runs may still end."""
+        self.closed = True
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        if self._running:
+            self.may_have_run = True
+
+    def cancel(self) -> None:
+        """Give up what runs and close its connections."""
+        self.stop()
+        for exchange, entry in list(self._running.items()):
+            self._tools.targets.cancel(entry, exchange)
+
+    # Sending.
+
+    def _may_send_more(self) -> bool:
+        asked = len(self._sent_to) + len(self._running)
+        return self.sends < MAX_SENDS and asked < self._job.route.max_attempts
+
+    def _attempt(self, now: float, extra: bool = False) -> bool:
+        """Send to the best target that was not tried; return False without one."""
+        targets = self._tools.targets
+        entry = targets.choose(self.service, self._tried, now)
+        if entry is None or self._job.deadline - now < MIN_LEFT_S:
+            return False
+        if extra and not targets.budget(self.service).try_spend(now):
+            self.reason = Reason.RETRY_BUDGET
+            return False
+        self._send(entry, now)
+        return True
+
+    def _send(self, entry: TargetEntry, now: float) -> None:
+        job = self._job
+        self.sends += 1
+        self._tried.add(entry.id)
+        exchange = Exchange(
+            job.head_for(entry.id, self._tools.names, now),
+            job.req.body,
+            functools.partial(self._ended, entry),
+            job.req.method == b"HEAD",
+        )
+        self._running[exchange] = entry
+        self._tools.targets.send(entry, exchange, now)
+
+    # Ends of exchanges.
+
+    def _ended(self, entry: TargetEntry, exchange: Exchange) -> None:
+        now = self._tools.clock.monotonic()
+        verdict = self._judge(exchange)
+        self._running.pop(exchange, None)
+        self._tools.targets.ended(entry, exchange, verdict, now)
+        if exchange.written:
+            self._sent_to.add(entry.id)
+        if verdict.result is Result.ANSWERED:
+            self._tools.hedge_timer(self._job.route).record(now - exchange.started_at)
+        if self.closed:
+            return
+        if verdict.result is Result.ANSWERED:
+            self._accept(exchange, verdict)
+        else:
+            self._failed(entry, exchange, verdict, now)
+
+    def _judge(self, exchange: Exchange) -> Verdict:
+        if exchange.end is not End.RESPONDED:
+            return verdict_without_response(exchange.end)
+        return self._tools.judge.verdict(exchange.status, exchange.fields, self._job.id)
+
+    def _accept(self, exchange: Exchange, verdict: Verdict) -> None:
+        self.answer = exchange
+        self.verdict = verdict
+        self.reason = Reason.NONE
+        self.stop()
+        self._listener.answered(self)
+
+    def _failed(
+        self, entry: TargetEntry, exchange: Exchange, verdict: Verdict, now: float
+    ) -> None:
+        self.reason = verdict.reason
+        if verdict.result is Result.UNKNOWN:
+            self.may_have_run = True
+        if verdict.stamp:
+            self.failure = exchange
+        events.emit(
+            events.ATTEMPT_FAILED,
+            request_id=self._job.id.decode("latin-1"),
+            service=self.service,
+            shard=self.service,
+            target=entry.id,
+            result=verdict.result.value,
+            reason=verdict.reason.value,
+        )
+        if self._running:
+            return
+        if not self._retry_now(entry, verdict, now):
+            self._close()
+
+    def _retry_now(self, entry: TargetEntry, verdict: Verdict, now: float) -> bool:
+        """Send or plan another attempt; return False if there is none."""
+        ran = verdict.result is Result.UNKNOWN
+        if self.sends >= MAX_SENDS or (ran and not self._repeatable):
+            return False
+        if self._may_send_more() and self._attempt(now, extra=True):
+            return True
+        if verdict.other_target or verdict.reason is Reason.CONNECT_FAILED:
+            return False
+        # Only a target that was asked before is left.
+        self._tried.discard(entry.id)
+        self._retry = self._tools.call_later(BACKOFF_S, self._retry_same)
+        return True
+
+    def _retry_same(self) -> None:
+        self._retry = None
+        if self.closed:
+            return
+        now = self._tools.clock.monotonic()
+        if not self._attempt(now, extra=True):
+            self._close()
+
+    def _close(self) -> None:
+        if not self.closed:
+            self.stop()
+            self._listener.failed(self)
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -310,3 +310,11 @@
 
 class InternalError(FilbertshelfError):
     """A fault of this program ended a request; it is unknown whether it ran."""
+
+
+class FetchError(PlatformError):
+    """A request to the platform has no whole answer; it is sent again later."""
+
+
+class HistoryLostError(PlatformError):
+    """The platform has forgotten the changes that were asked for; read it whole."""
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -87,6 +87,14 @@
     level=Level.WARNING,
 )
 
+LINES_DROPPED = define(
+    105,
+    "log-lines-dropped",
+    "The reader of the log was too slow; lines were left out.",
+    "count",
+    level=Level.WARNING,
+)
+
 # 2xx: requests and routing.
 REQUEST_REJECTED = define(
     200,
@@ -177,6 +185,39 @@
     "verdict",
 )
 
+ROUTED_ANSWERED = define(
+    209,
+    "routed-request-ended",
+    "The outcome of a request that took a route, and the inputs that decided it.",
+    "request_id",
+    "route",
+    "version",
+    "status",
+    "outcome",
+    "elapsed_ms",
+    "sub_requests",
+    "extra",
+    "missing",
+    "age_s",
+)
+ROUTED_REFUSED = define(
+    210,
+    "routed-request-refused",
+    "A request did not run, because no route or no time was there for it.",
+    "request_id",
+    "status",
+    "reason",
+    "version",
+    level=Level.WARNING,
+)
+CALLER_LEFT = define(
+    211,
+    "caller-left",
+    "The caller closed its connection before it had an answer.",
+    "request_id",
+    "elapsed_ms",
+)
+
 # 3xx: targets and placement.
 TARGET_ADDED = define(
     300, "target-added", "A target joined the publication.", "target", "address"
@@ -287,6 +328,23 @@
     level=Level.ERROR,
 )
 
+PLATFORM_HISTORY_LOST = define(
+    412,
+    "platform-history-lost",
+    "The platform forgot the changes since a revision; it is read whole.",
+    "revision",
+    level=Level.WARNING,
+)
+ENTRY_IGNORED = define(
+    413,
+    "platform-entry-ignored",
+    "An entry of the platform can't be understood and names no target.",
+    "key",
+    "revision",
+    "reason",
+    level=Level.WARNING,
+)
+
 # 5xx: peers and membership.
 PEERS_LISTENING = define(
     500, "peers-listening", "Other instances can connect.", "instance", "address"
--- /dev/null
+++ b/filbertshelf/gateway_settings.py
@@ -0,0 +1,28 @@
+"""The settings of a gateway: an instance that serves routes by host and path."""
+
+from __future__ import annotations
+
+import attrs
+
+from filbertshelf.settings import Settings
+from filbertshelf.state.retry_window import RetryPolicy
+
+Address = tuple[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """All settings of one gateway; times are in seconds."""
+
+    instance: Settings
+    """Name, data centre, peers and limits, as for every instance."""
+    listen: Address
+    """Where callers connect."""
+    ready_listen: Address
+    """Where the platform asks whether callers may be sent here."""
+    metrics_listen: Address | None = None
+    """Where counters and histograms are served as text."""
+    retries: RetryPolicy
+    """The retry budget of each service over the whole fleet."""
+    stop_grace_s: float
+    """The time between the request to stop and the end of the process."""
--- /dev/null
+++ b/filbertshelf/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/filbertshelf/platform/names.py
@@ -0,0 +1,25 @@
+"""The names on the platform's wire."""
+
+from __future__ import annotations
+
+from filbertshelf.protocol.dialect import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id=b"Request-Id",
+    deadline_ms=b"Request-Deadline-Ms",
+    stamp=b"Server-Stamp",
+    expected_target=b"Expect-Instance",
+    not_run=b"Not-Executed",
+    target_id=b"Instance-Id",
+    part_stamps=b"Part-Stamps",
+    missing_parts=b"Missing-Parts",
+)
+
+SETTINGS_VARIABLE = "FILBERTSHELF_SETTINGS"
+
+CONFIG_KEY = "op/config"
+TARGET_PREFIX = "servers/"
+EVERYTHING = ""
+
+RANGE_PATH = "/v1/kv-range"
+WATCH_PATH = "/v1/kv-watch"
--- /dev/null
+++ b/filbertshelf/platform/settings.py
@@ -0,0 +1,117 @@
+"""Decodes the settings file that the platform writes."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from filbertshelf.errors import Problem, SettingsError
+from filbertshelf.gateway_settings import Address, GatewaySettings
+from filbertshelf.settings import Settings
+from filbertshelf.state.retry_window import RetryPolicy
+
+FLEET_KEY = "filbertshelf-on-a-private-network"
+"""The platform hands out no secret; its network lets only its machines connect."""
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Return the settings in the file; raises `SettingsError` with all problems."""
+    try:
+        doc = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as exc:
+        problem = Problem("file", str(path), str(exc), "name a readable TOML file")
+        raise SettingsError([problem]) from exc
+    return parse_gateway_settings(doc)
+
+
+def parse_gateway_settings(doc: dict[str, Any]) -> GatewaySettings:
+    """Return the settings; unknown fields are ignored.
+
+    Raises `SettingsError` with every missing or malformed field.
+    """
+    reader = _Reader(doc)
+    listen = reader.address("listen", "front")
+    ready = reader.address("listen", "ready")
+    peers = reader.address("listen", "control")
+    seeds = reader.addresses("seeds")
+    name = reader.text("node")
+    zone = reader.text("zone")
+    store = reader.address("platform", "address")
+    retries = RetryPolicy(
+        reader.number("bounds", "retryBudgetRatio"),
+        reader.number("bounds", "budgetMinRetries"),
+        reader.number("bounds", "budgetWindowS"),
+    )
+    grace = reader.number("bounds", "graceS")
+    if reader.problems:
+        raise SettingsError(reader.problems)
+    instance = Settings(
+        name=name,
+        data_centre=zone,
+        peer_listen=peers,
+        peers=tuple(seed for seed in seeds if seed != peers),
+        fleet_key=FLEET_KEY,
+        platform=store,
+        drain_timeout=grace,
+    )
+    return GatewaySettings(
+        instance=instance,
+        listen=listen,
+        ready_listen=ready,
+        retries=retries,
+        stop_grace_s=grace,
+    )
+
+
+class _Reader:
+    """Reads fields and collects the problems of all."""
+
+    def __init__(self, doc: dict[str, Any]):
+        self._doc = doc
+        self.problems: list[Problem] = []
+
+    def text(self, *names: str) -> str:
+        value = self._find(names)
+        if isinstance(value, str) and value:
+            return value
+        self._problem(names, value, "is not a text", "write a text")
+        return ""
+
+    def number(self, *names: str) -> float:
+        value = self._find(names)
+        if type(value) in (int, float) and value >= 0:
+            return float(value)
+        self._problem(names, value, "is not a number", "write a number from 0")
+        return 0.0
+
+    def address(self, *names: str) -> Address:
+        return self._address(names, self._find(names))
+
+    def addresses(self, *names: str) -> list[Address]:
+        value = self._find(names)
+        if not isinstance(value, list):
+            self._problem(names, value, "is not a list", "write a list of addresses")
+            return []
+        return [self._address(names, item) for item in value]
+
+    def _address(self, names: tuple[str, ...], value: object) -> Address:
+        if isinstance(value, str):
+            host, _, port = value.rpartition(":")
+            if host and port.isdecimal() and int(port) < 65_536:
+                return host, int(port)
+        self._problem(names, value, "is not an address", "write IP:PORT")
+        return "", 0
+
+    def _find(self, names: tuple[str, ...]) -> Any:
+        value: Any = self._doc
+        for name in names:
+            value = value.get(name) if isinstance(value, dict) else None
+        return value
+
+    def _problem(
+        self, names: tuple[str, ...], value: object, message: str, remedy: str
+    ) -> None:
+        text = "" if value is None else str(value)[:80]
+        message = "is missing" if value is None else message
+        self.problems.append(Problem(".".join(names), text, message, remedy))
--- /dev/null
+++ b/filbertshelf/state/records.py
@@ -0,0 +1,25 @@
+"""Merges the fixed-size records of many shards."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+RECORD_BYTES = 16
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Return the records of one answer; a shorter remainder is no record."""
+    whole = len(body) - len(body) % RECORD_BYTES
+    return [body[at : at + RECORD_BYTES] for at in range(0, whole, RECORD_BYTES)]
+
+
+def greatest_records(bodies: Iterable[bytes], top: int) -> bytes:
+    """Return the `top` greatest records of the answers, greatest first.
+
+    Records are compared byte by byte; equal ones all count.
+    """
+    records: list[bytes] = []
+    for body in bodies:
+        records += split_records(body)
+    records.sort(reverse=True)
+    return b"".join(records[:top])
--- /dev/null
+++ b/filbertshelf/transport/http1/fetch.py
@@ -0,0 +1,47 @@
+"""Awaitable GET requests over one kept connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from filbertshelf.clock import Clock
+from filbertshelf.errors import FetchError
+from filbertshelf.transport.http1.client import ConnectionPool, End, Exchange
+
+
+class Fetcher:
+    """Sends GET requests to one address, a few at once."""
+
+    def __init__(self, address: tuple[str, int], clock: Clock, connections: int = 2):
+        self._host = "{}:{}".format(*address).encode()
+        self._pool = ConnectionPool(address, connections, clock)
+
+    async def get(self, target: bytes, timeout: float) -> Exchange:
+        """Return the finished exchange for a request target.
+
+        Raises `FetchError` if no whole response came within `timeout` seconds; the
+        connection is closed then, because its response may still come.
+        """
+        ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        def end(_exchange: Exchange) -> None:
+            if not ended.done():
+                ended.set_result(None)
+
+        head = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (target, self._host)
+        exchange = Exchange(head, b"", end)
+        self._pool.submit(exchange)
+        try:
+            async with asyncio.timeout(timeout):
+                await ended
+        except TimeoutError as exc:
+            raise FetchError(f"no answer in {timeout:g} s") from exc
+        finally:
+            self._pool.cancel(exchange)
+        if exchange.end is not End.RESPONDED:
+            raise FetchError(f"no answer: {exchange.end.value}")
+        return exchange
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
--- a/filbertshelf/transport/peers.py
+++ b/filbertshelf/transport/peers.py
@@ -53,7 +53,8 @@
     text_of,
 )
 
-MAX_IDLE_LINKS = 16
+# Links to more peers than one round of news goes to would be opened again each round.
+MAX_IDLE_LINKS = 64
 # Seconds from the TCP connect to the end of the handshake.
 CONNECT_TIMEOUT = 2.0
 # Seconds that a notice may wait for room in the socket's buffer.
