Tell targets the time that is left when a request is written

The head is now made at the write, and what still waits for a connection at the hedge delay moves to another target. The tests in virtual time found two more: a new target without answers was taken for slower than siblings that only shed, so it was never chosen; and headers without an end were timed out instead of refused.

--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -49,9 +49,8 @@
         self._deadline = self._tools.call_later(
             max(0.0, self._job.deadline - now), self._timed_out
         )
-        if self._job.route.repeat is Repeat.IDEMPOTENT:
-            delay = self._tools.hedge_timer(self._job.route).delay_s()
-            self._timer = self._tools.call_later(delay, self._hedge)
+        delay = self._tools.hedge_timer(self._job.route).delay_s()
+        self._timer = self._tools.call_later(delay, self._hedge)
         self._call.start(now)
 
     def caller_left(self) -> None:
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -4,12 +4,13 @@
 
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Protocol
 
 import attrs
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
-from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.gateway_settings import Address, GatewaySettings
 from filbertshelf.protocol.dialect import Verdict
 from filbertshelf.state.directory import ListedTarget, TargetChange
 from filbertshelf.state.outcome import Reason, Result
@@ -41,12 +42,34 @@
 }
 
 
+class Pool(Protocol):
+    """What is needed of the connections to one target."""
+
+    quota: int
+    opened: int
+
+    def has_room(self) -> bool:
+        """Return whether an exchange would start at once."""
+
+    def submit(self, exchange: Exchange) -> None:
+        """Start an exchange, or queue it."""
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Give an exchange up."""
+
+    def warm_up(self) -> None:
+        """Open a connection before it is needed."""
+
+    def close(self) -> None:
+        """Close the connections once they are idle."""
+
+
 @attrs.define(eq=False)
 class TargetEntry:
     """One listed target with its connections and observations."""
 
     listed: ListedTarget
-    pool: ConnectionPool
+    pool: Pool
     candidate: Candidate
     running: dict[Exchange, float] = attrs.field(factory=dict)
 
@@ -80,8 +103,10 @@
         clock: Clock,
         rng: random.Random,
         call_later: Callable[[float, Callable[[], None]], object],
+        make_pool: Callable[[Address, int, Clock], Pool] = ConnectionPool,
     ):
         """`call_later` runs a function after some seconds, as the event loop does."""
+        self._make_pool = make_pool
         self._cfg = cfg
         self._clock = clock
         self._rng = rng
@@ -144,7 +169,7 @@
     def _add(self, listed: ListedTarget) -> None:
         service = self._service(listed.service)
         host, _, port = listed.address.rpartition(":")
-        pool = ConnectionPool((host, int(port)), 1, self._clock)
+        pool = self._make_pool((host, int(port)), 1, self._clock)
         target = Target(
             listed.id, listed.address, listed.data_centre, {}, listed.slots, 0
         )
@@ -221,6 +246,12 @@
         """Give up an exchange and close its connection."""
         entry.pool.cancel(exchange)
 
+    def withdraw(self, entry: TargetEntry, exchange: Exchange) -> None:
+        """Take back an exchange that waits for a connection."""
+        entry.running.pop(exchange, None)
+        entry.state.finished(Result.NOT_RUN, Reason.CANCELLED, 0.0)
+        entry.pool.cancel(exchange)
+
     def states(self) -> dict[str, TargetState]:
         """Return the observations of all targets by id."""
         return {id_: entry.state for id_, entry in self._entries.items()}
--- a/filbertshelf/coordination/routed.py
+++ b/filbertshelf/coordination/routed.py
@@ -82,7 +82,7 @@
         return routed
 
     def head_for(self, target_id: str, names: HeaderNames, now: float) -> bytes:
-        """Return the head for one target, with the time that is left."""
+        """Return the head for one target, with the time that is left at `now`."""
         left_ms = max(1, int((self.deadline - now) * 1000))
         return b"%b%b: %d\r\n%b: %b\r\n\r\n" % (
             self._prefix,
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -76,15 +76,30 @@
 
     def hedge(self, now: float) -> bool:
         """Ask a second target, if that is allowed, and return whether it was."""
-        if self.closed or not self._repeatable or len(self._running) != 1:
+        if self.closed or len(self._running) != 1:
             return False
         (exchange, entry), *_ = self._running.items()
         entry.state.observe_waiting(now - exchange.started_at)
+        if not exchange.written:
+            return self._move(exchange, entry, now)
+        if not self._repeatable:
+            return False
         budget = self._tools.targets.budget(self.service)
         if budget.left(now) < 1.0 + BUDGET_RESERVE or not self._may_send_more():
             return False
         return self._attempt(now, extra=True)
 
+    def _move(self, exchange: Exchange, entry: TargetEntry, now: float) -> bool:
+        """Ask another target instead of one to which no connection is free."""
+        targets = self._tools.targets
+        other = targets.choose(self.service, self._tried, now)
+        if other is None or not other.pool.has_room():
+            return False
+        del self._running[exchange]
+        targets.withdraw(entry, exchange)
+        self._send(other, now)
+        return True
+
     def stop(self) -> None:
         """Send nothing more; what runs may still end."""
         self.closed = True
@@ -123,7 +138,7 @@
         self.sends += 1
         self._tried.add(entry.id)
         exchange = Exchange(
-            job.head_for(entry.id, self._tools.names, now),
+            functools.partial(self._head, entry.id),
             job.req.body,
             functools.partial(self._ended, entry),
             job.req.method == b"HEAD",
@@ -131,12 +146,17 @@
         self._running[exchange] = entry
         self._tools.targets.send(entry, exchange, now)
 
+    def _head(self, target_id: str) -> bytes:
+        now = self._tools.clock.monotonic()
+        return self._job.head_for(target_id, self._tools.names, now)
+
     # Ends of exchanges.
 
     def _ended(self, entry: TargetEntry, exchange: Exchange) -> None:
+        if self._running.pop(exchange, None) is None:
+            return
         now = self._tools.clock.monotonic()
         verdict = self._judge(exchange)
-        self._running.pop(exchange, None)
         self._tools.targets.ended(entry, exchange, verdict, now)
         if exchange.written:
             self._sent_to.add(entry.id)
--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -104,7 +104,13 @@
     config = None
     changes: dict[str, TargetChange] = {}
     for item in items:
-        if not isinstance(item, dict) or not isinstance(item.get("key"), str):
+        if not _is_item(item):
+            events.emit(
+                events.ENTRY_IGNORED,
+                key=f"{item!r:.80}",
+                revision=revision,
+                reason="it has no key or no revision",
+            )
             continue
         key = item["key"]
         if key == CONFIG_KEY and not item.get("deleted"):
@@ -116,6 +122,14 @@
     return News(directory, config)
 
 
+def _is_item(item: Any) -> bool:
+    return (
+        isinstance(item, dict)
+        and isinstance(item.get("key"), str)
+        and type(item.get("modRevision")) is int
+    )
+
+
 def _change(item: dict[str, Any], id_: str) -> TargetChange:
     revision = item["modRevision"]
     if item.get("deleted"):
--- a/filbertshelf/state/selection.py
+++ b/filbertshelf/state/selection.py
@@ -13,7 +13,10 @@
 """A target in another data centre must be this much cheaper, as its bytes cost more."""
 
 NEW_FACTOR = 1.5
-"""A target without samples is taken for this much slower than its siblings."""
+"""A target without answers is taken for this much slower than its siblings."""
+
+FIRST_GUESS_S = 0.02
+"""What a target is taken for while no target of the shard has answered."""
 
 JITTER = 0.1
 """The random part of a cost, so that instances don't all prefer the same target."""
@@ -54,8 +57,10 @@
     ]
     if len(live) < 2:
         return live[0] if live else None
-    known = [item.state.latency_s for item in live if item.state.latency_s]
-    unknown_s = NEW_FACTOR * min(known) if known else 1.0
+    # Not the average that penalties raise: where all siblings fail, the new one is
+    # the best choice.
+    usual = [item.state.usual_s for item in live if item.state.usual_s]
+    unknown_s = NEW_FACTOR * min(usual) if usual else FIRST_GUESS_S
     return min(live, key=lambda item: _cost(item, unknown_s, now, rng))
 
 
--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -39,10 +39,11 @@
 class Exchange:
     """One request and what came back; `on_end` is called exactly once.
 
-    `written` tells whether the server may have read the request.
+    `make_head` is called when the request is written, which may be long after it was
+    queued. `written` tells whether the server may have read the request.
     """
 
-    head: bytes
+    make_head: Callable[[], bytes]
     body: bytes
     on_end: Callable[[Exchange], None]
     without_body: bool = False
@@ -177,7 +178,7 @@
         self._until_end = False
         self._parts = []
         self._size = 0
-        self._transport.write(exchange.head + exchange.body)
+        self._transport.write(exchange.make_head() + exchange.body)
 
     def abort(self) -> None:
         """Close at once; an exchange ends as lost."""
--- a/filbertshelf/transport/http1/fetch.py
+++ b/filbertshelf/transport/http1/fetch.py
@@ -29,7 +29,7 @@
                 ended.set_result(None)
 
         head = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (target, self._host)
-        exchange = Exchange(head, b"", end)
+        exchange = Exchange(lambda: head, b"", end)
         self._pool.submit(exchange)
         try:
             async with asyncio.timeout(timeout):
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -89,6 +89,7 @@
         self._running: Request | None = None
         self._limits = app.limits()
         self._refused: tuple[int, str] | None = None
+        self._head_bytes = 0
         self._new_message()
         self._phase = Phase.IDLE
         self._due = clock.monotonic() + self._limits.idle_timeout_s
@@ -98,7 +99,6 @@
         self._fields: list[Field] = []
         self._parts: list[bytes] = []
         self._size = 0
-        self._head_bytes = 0
 
     # What asyncio calls.
 
--- /dev/null
+++ b/test/coordination/routed_world.py
@@ -0,0 +1,379 @@
+"""A gateway's requests against simulated targets, in virtual time and no network."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+
+import attrs
+
+from filbertshelf.coordination.forward import Forward
+from filbertshelf.coordination.gather import Gather
+from filbertshelf.coordination.listed_targets import ListedTargets
+from filbertshelf.coordination.routed import Result, RoutedRequest, Tools
+from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.protocol.dialect import HeaderNames, Judge
+from filbertshelf.settings import Settings
+from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.retry_window import RetryPolicy
+from filbertshelf.state.routing import (
+    Gather as GatherRule,
+)
+from filbertshelf.state.routing import (
+    Limits,
+    Repeat,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
+from filbertshelf.transport.http1.client import End, Exchange
+from filbertshelf.transport.http1.server import Request
+
+NAMES = HeaderNames(
+    b"Id", b"Left-Ms", b"Stamp", b"Expect", b"Not-Run", b"Target", b"Parts", b"Missing"
+)
+HERE = "here"
+ELSEWHERE = "elsewhere"
+
+
+class VirtualTime:
+    """A clock and a timer queue that move only when a test says so."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._due: list[tuple[float, int, VirtualTimer]] = []
+        self._order = itertools.count()
+
+    def monotonic(self) -> float:
+        """Return the virtual seconds."""
+        return self._now
+
+    def now(self) -> datetime:
+        """Return the virtual time of day."""
+        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=self._now)
+
+    def call_later(self, seconds: float, func: Callable[[], None]) -> VirtualTimer:
+        """Plan a call."""
+        timer = VirtualTimer(func)
+        due = self._now + max(0.0, seconds)
+        heapq.heappush(self._due, (due, next(self._order), timer))
+        return timer
+
+    def run_until(self, end: float) -> None:
+        """Make all calls that are due by then."""
+        while self._due and self._due[0][0] <= end:
+            due, _, timer = heapq.heappop(self._due)
+            self._now = due
+            if not timer.cancelled:
+                timer.func()
+        self._now = end
+
+
+@attrs.define(eq=False)
+class VirtualTimer:
+    """A call that is due at some time."""
+
+    func: Callable[[], None]
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Don't make the call."""
+        self.cancelled = True
+
+
+@attrs.define(eq=False)
+class Leaf:
+    """A simulated target: some slots, a queue, pauses and faults."""
+
+    world: World
+    id: str
+    service: str
+    slots: int = 2
+    work_s: float = 0.02
+    pause_s: float = 0.0
+    pause_every_s: float = 0.0
+    pause_phase_s: float = 0.0
+    fault: str = ""
+    """"": none, refused: no connection, silent: no answer, shed: says that it did not
+    run, error: its own 500, reset: the connection ends after it ran, moved: another
+    target has its address, full: no connection is free."""
+    arrivals: list[float] = attrs.field(factory=list)
+    requests: list[bytes] = attrs.field(factory=list)
+    left_ms: list[int] = attrs.field(factory=list)
+    held: list[Exchange] = attrs.field(factory=list)
+    _free_at: list[float] = attrs.field(factory=list)
+
+    def take(self, exchange: Exchange) -> None:
+        """Get a request."""
+        now = self.world.time.monotonic()
+        if self.fault == "refused":
+            self.world.time.call_later(
+                0.002, lambda: exchange.finish(End.NOT_CONNECTED)
+            )
+            return
+        if self.fault in ("full", "held"):
+            self.held.append(exchange)
+            return
+        exchange.written = True
+        head = _fields(exchange.make_head())
+        self.arrivals.append(now)
+        self.requests.append(head[b"Id"])
+        self.left_ms.append(int(head[b"Left-Ms"]))
+        if self.fault == "silent":
+            return
+        if self.fault == "shed":
+            self._answer(exchange, 0.002, 503, [(b"Not-Run", b"1")])
+        elif self.fault == "moved":
+            self._answer(exchange, 0.002, 421, [(b"Target", b"other")])
+        elif self.fault == "error":
+            self._answer(exchange, 0.002, 500, [(b"Stamp", b"s-" + head[b"Id"])])
+        elif self.fault == "reset":
+            self.world.time.call_later(0.01, lambda: exchange.finish(End.LOST))
+        else:
+            self._serve(exchange, now, head[b"Id"])
+
+    def _serve(self, exchange: Exchange, now: float, request_id: bytes) -> None:
+        if len(self._free_at) < self.slots:
+            self._free_at.append(now)
+        free = min(self._free_at)
+        start = self._after_pause(max(now, free))
+        end = self._after_pause(start + self.work_s * self.world.rng.uniform(0.6, 1.4))
+        self._free_at[self._free_at.index(free)] = end
+        stamp = f"{self.id}-".encode() + request_id
+        fields = [(b"Stamp", stamp), (b"Id", request_id)]
+        self._answer(exchange, end - now, 200, fields, self.record())
+
+    def record(self) -> bytes:
+        """Return the one record of this leaf's answers."""
+        return self.id.encode().ljust(16, b".")
+
+    def _after_pause(self, at: float) -> float:
+        if not self.pause_every_s:
+            return at
+        into = (at + self.pause_phase_s) % self.pause_every_s
+        return at + self.pause_s - into if into < self.pause_s else at
+
+    def _answer(self, exchange, delay, status, fields, body=b"") -> None:
+        def respond() -> None:
+            if exchange.end is None:
+                exchange.status = status
+                exchange.fields = fields
+                exchange.response_body = body
+                exchange.finish(End.RESPONDED)
+
+        self.world.time.call_later(delay, respond)
+
+
+class LeafPool:
+    """Hands exchanges to a leaf as if over connections."""
+
+    def __init__(self, leaf: Leaf):
+        self._leaf = leaf
+        self.quota = 1
+        self.opened = 0
+
+    def has_room(self) -> bool:
+        """Return whether a connection is free."""
+        return self._leaf.fault != "full"
+
+    def submit(self, exchange: Exchange) -> None:
+        """Send the exchange."""
+        exchange.started_at = self._leaf.world.time.monotonic()
+        self._leaf.take(exchange)
+
+    def cancel(self, exchange: Exchange) -> None:
+        """End the exchange."""
+        exchange.finish(End.CANCELLED)
+
+    def warm_up(self) -> None:
+        """Count a connection."""
+        self.opened += 1
+
+    def close(self) -> None:
+        """Close nothing."""
+        return None
+
+
+def _fields(head: bytes) -> dict[bytes, bytes]:
+    lines = head.split(b"\r\n")[1:]
+    return dict(line.split(b": ", 1) for line in lines if line)
+
+
+@attrs.define(eq=False)
+class Call:
+    """One request of a caller and its end."""
+
+    sent_at: float
+    run: Gather | Forward | None = None
+    result: Result | None = None
+    ended_at: float = 0.0
+
+    @property
+    def status(self) -> int:
+        """Return the status of the response."""
+        return self.result.response.status
+
+    @property
+    def elapsed_s(self) -> float:
+        """Return the seconds until the response."""
+        return self.ended_at - self.sent_at
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header of the response."""
+        return dict(self.result.response.fields)[name]
+
+
+class World:
+    """One gateway with leafs of some services."""
+
+    def __init__(self, ratio: float = 0.2, slack: float = 129.0, fleet: int = 1):
+        self.time = VirtualTime()
+        self.rng = random.Random(7)
+        self.leafs: dict[str, Leaf] = {}
+        self._ports: dict[int, Leaf] = {}
+        self._ids = itertools.count(1)
+        cfg = GatewaySettings(
+            instance=Settings(
+                name="gateway",
+                data_centre=HERE,
+                fleet_key="a key for tests only",
+                platform=("127.0.0.1", 1),
+            ),
+            listen=("127.0.0.1", 0),
+            ready_listen=("127.0.0.1", 0),
+            retries=RetryPolicy(ratio, slack, 10.0),
+            stop_grace_s=6.0,
+        )
+        self.targets = ListedTargets(
+            cfg,
+            self.time,
+            self.rng,
+            self.time.call_later,
+            lambda address, quota, clock: LeafPool(self._ports[address[1]]),
+        )
+        self.targets.set_fleet(fleet)
+        self.tools = Tools(
+            self.time, self.time.call_later, self.targets, NAMES, Judge(NAMES)
+        )
+
+    def add(self, service: str, data_centre: str = HERE, **options) -> Leaf:
+        """Add a leaf of a service and list it."""
+        number = len(self.leafs) + 1
+        leaf = Leaf(self, f"t{number}", service, **options)
+        self.leafs[leaf.id] = leaf
+        self._ports[number] = leaf
+        address = f"10.0.0.1:{number}"
+        listed = ListedTarget(
+            leaf.id, service, address, data_centre, leaf.slots, False, 0
+        )
+        self.targets.apply([TargetChange(leaf.id, number, listed)])
+        return leaf
+
+    def add_shards(self, count: int, copies: int = 2, **options) -> list[str]:
+        """Add services with one leaf here and the others elsewhere."""
+        names = [f"shard-{n}" for n in range(count)]
+        for name in names:
+            for copy in range(copies):
+                self.add(name, HERE if copy == 0 else ELSEWHERE, **options)
+        return names
+
+    def query(self, route: Route, deadline_s: float = 0.8) -> Call:
+        """Send a request on the route now."""
+        now = self.time.monotonic()
+        call = Call(now)
+        request_id = b"r%d" % next(self._ids)
+        req = Request(
+            b"GET" if route.repeat is Repeat.IDEMPOTENT else b"POST",
+            b"/x/1",
+            [(b"Host", b"h"), (b"Id", request_id)],
+            b"",
+            now,
+            True,
+            lambda response: None,
+        )
+        deadline = now + min(deadline_s, route.timeout_s)
+        table = RouteTable.build(1, [route], [], Limits())
+        job = RoutedRequest.make(req, request_id, route, table, deadline, NAMES)
+
+        def done(result: Result) -> None:
+            assert call.result is None
+            call.result = result
+            call.ended_at = self.time.monotonic()
+
+        if route.gather is not None:
+            call.run = Gather(self.tools, job, done)
+        else:
+            call.run = Forward(self.tools, job, route.shares[0].service, done)
+        call.run.start()
+        return call
+
+    def load(self, route: Route, per_s: float, seconds: float) -> list[Call]:
+        """Send requests at a rate for some time, and wait for the last ones."""
+        calls = []
+        start = self.time.monotonic()
+        for n in range(int(per_s * seconds)):
+            self.time.run_until(start + n / per_s)
+            calls.append(self.query(route))
+        self.time.run_until(start + seconds + route.timeout_s + 1.0)
+        return calls
+
+    def arrivals(self) -> int:
+        """Return how many sub-requests all leafs got."""
+        return sum(len(leaf.arrivals) for leaf in self.leafs.values())
+
+    def extras(self, service: str) -> list[float]:
+        """Return when sub-requests beyond the first of each request came."""
+        seen: set[bytes] = set()
+        found = []
+        got = [
+            pair
+            for leaf in self.leafs.values()
+            if leaf.service == service
+            for pair in zip(leaf.arrivals, leaf.requests, strict=True)
+        ]
+        for at, request_id in sorted(got):
+            if request_id in seen:
+                found.append(at)
+            seen.add(request_id)
+        return found
+
+
+def gather_route(shards: list[str], **changes) -> Route:
+    """Return a route over shards."""
+    values = {
+        "name": "all",
+        "host": "h",
+        "prefix": "/x/",
+        "repeat": Repeat.IDEMPOTENT,
+        "timeout_s": 0.8,
+        "aim_s": 0.15,
+        "max_attempts": 2,
+        "priority": 1,
+        "gather": GatherRule(tuple(shards), 10, 0.89),
+    }
+    return Route(**{**values, **changes})
+
+
+def single_route(service: str, repeat: Repeat, **changes) -> Route:
+    """Return a route to one service."""
+    values = {
+        "name": "one",
+        "host": "h",
+        "prefix": "/x/",
+        "repeat": repeat,
+        "timeout_s": 4.0,
+        "aim_s": 0.6,
+        "max_attempts": 2,
+        "priority": 2,
+        "shares": (Share(service, 1.0),),
+    }
+    return Route(**{**values, **changes})
+
+
+def service_named(name: str, connections: int = 58) -> Service:
+    """Return a service for a table."""
+    return Service(name, "/health", connections)
--- /dev/null
+++ b/test/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/test/platform/test_boundary.py
@@ -0,0 +1,57 @@
+"""Nothing outside the adapter knows the platform's names."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent / "filbertshelf"
+NAMES = (
+    "Request-Deadline-Ms",
+    "Server-Stamp",
+    "Expect-Instance",
+    "Not-Executed",
+    "Instance-Id",
+    "Part-Stamps",
+    "Missing-Parts",
+    "kv-range",
+    "kv-watch",
+    "op/config",
+    "servers/",
+    "modRevision",
+    "storeRevision",
+    "timeoutMs",
+    "targetLatencyMs",
+    "maxAttempts",
+    "minCoverage",
+    "topK",
+    "maxConns",
+    "healthPath",
+    "coldRemainingMs",
+    "FILBERTSHELF_SETTINGS",
+    "retryBudgetRatio",
+    "budgetMinRetries",
+    "graceS",
+)
+SOURCES = sorted(
+    path for path in ROOT.rglob("*.py") if path.parent != ROOT / "platform"
+)
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda p: str(p.relative_to(ROOT)))
+def test_no_name_of_the_platform_stands_outside_the_adapter(path):
+    source = path.read_text(encoding="utf-8")
+    found = [name for name in NAMES if re.search(re.escape(name), source)]
+    assert found == []
+
+
+def test_the_adapter_is_imported_by_nothing_else():
+    # Guards against a product that works on one platform only.
+    users = [
+        path
+        for path in SOURCES
+        if "filbertshelf.platform" in path.read_text(encoding="utf-8")
+    ]
+    assert users == []
--- /dev/null
+++ b/test/platform/test_settings.py
@@ -0,0 +1,82 @@
+"""The settings file that the platform writes."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from filbertshelf.errors import SettingsError
+from filbertshelf.platform.settings import (
+    load_gateway_settings,
+    parse_gateway_settings,
+)
+
+
+def settings() -> dict:
+    """Return a document with every field that is used, and some that are not."""
+    return {
+        "node": "front-qld-south-a-1",
+        "role": "gateway",
+        "zone": "qld-south-a",
+        "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
+        "listen": {
+            "front": "10.1.0.9:8104",
+            "ready": "10.1.0.9:8108",
+            "control": "10.1.0.9:8106",
+        },
+        "bounds": {
+            "graceS": 6,
+            "retryBudgetRatio": 0.2,
+            "budgetWindowS": 10,
+            "budgetMinRetries": 129,
+        },
+        "platform": {"address": "10.200.1.7:8102", "form": "read"},
+        "somethingNew": {"a": [1]},
+    }
+
+
+def test_the_fields_are_decoded_and_unknown_ones_ignored():
+    cfg = parse_gateway_settings(settings())
+    assert cfg.instance.name == "front-qld-south-a-1"
+    assert cfg.instance.data_centre == "qld-south-a"
+    assert cfg.instance.peer_listen == ("10.1.0.9", 8106)
+    assert cfg.instance.peers == (("10.2.0.21", 8106),)
+    assert cfg.listen == ("10.1.0.9", 8104)
+    assert cfg.retries.slack == 129.0
+    assert cfg.stop_grace_s == 6.0
+
+
+def test_all_problems_are_reported_at_once():
+    doc = settings()
+    del doc["node"]
+    doc["listen"]["front"] = "nowhere"
+    doc["bounds"]["graceS"] = "6"
+    with pytest.raises(SettingsError) as caught:
+        parse_gateway_settings(doc)
+    assert [problem.where for problem in caught.value.problems] == [
+        "listen.front",
+        "node",
+        "bounds.graceS",
+    ]
+
+
+def test_a_file_that_is_no_toml_is_a_settings_error(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text("node = ")
+    with pytest.raises(SettingsError):
+        load_gateway_settings(path)
+
+
+def test_the_program_ends_with_a_message_and_a_status(tmp_path):
+    # Guards against a traceback where the operator needs the name of the field.
+    path = tmp_path / "settings.toml"
+    path.write_text('node = "a"\n')
+    env = {**os.environ, "FILBERTSHELF_SETTINGS": str(path)}
+    command = [sys.executable, "-m", "filbertshelf.platform"]
+    done = subprocess.run(command, env=env, capture_output=True, timeout=30, text=True)
+    assert done.returncode == SettingsError.exit_code
+    assert "listen.front" in done.stderr
+    assert "Traceback" not in done.stderr
--- /dev/null
+++ b/test/platform/test_store.py
@@ -0,0 +1,100 @@
+"""The client of the platform's store against a stand-in with faults."""
+
+from __future__ import annotations
+
+import pytest
+
+from filbertshelf.clock import SystemClock
+from filbertshelf.errors import HistoryLostError, PlatformError
+from filbertshelf.platform import store as module
+from filbertshelf.platform.store import StoreClient
+from test.platform.store_standin import StoreStandin
+from test.platform.test_entries import CONFIG, ENTRY
+
+
+@pytest.fixture
+def store():
+    """Return a store with a configuration and three targets."""
+    found = StoreStandin()
+    for name in "abc":
+        found.put(f"servers/i-{name}", ENTRY)
+    found.put("op/config", CONFIG)
+    return found
+
+
+@pytest.fixture
+async def client(store):
+    """Return a client of the store."""
+    server = store.server()
+    await server.start()
+    found = StoreClient(server.address, SystemClock())
+    yield found
+    found.close()
+    await server.stop()
+
+
+async def test_all_pages_are_read(store, client):
+    news = await client.snapshot()
+    assert [change.id for change in news.directory.targets] == ["i-a", "i-b", "i-c"]
+    assert news.directory.since == 0
+    assert news.directory.revision == store.revision
+    assert news.config.revision == 5
+    assert len(store.calls) == 2
+
+
+async def test_changes_continue_from_the_revision(store, client):
+    before = (await client.snapshot()).directory.revision
+    store.delete("servers/i-b")
+    store.put("servers/i-a", {**ENTRY, "state": "draining"})
+    news = await client.changes(before)
+    gone, changed = sorted(news.directory.targets, key=lambda c: c.target is not None)
+    assert (gone.id, gone.target) == ("i-b", None)
+    assert changed.target.draining
+    assert news.config is None
+    assert (news.directory.since, news.directory.revision) == (before, store.revision)
+
+
+async def test_an_entry_of_another_writer_names_no_target(store, client, log):
+    # Guards against one broken entry that hides all others.
+    store.put("servers/i-b", b"\xff\x00")
+    store.items["servers/i-c"]["value"] = "not base64!"
+    news = await client.snapshot()
+    assert [c.id for c in news.directory.targets if c.target] == ["i-a"]
+    assert [line["key"] for line in log if line["event"] == 413] == [
+        "servers/i-b",
+        "servers/i-c",
+    ]
+
+
+async def test_a_forgotten_history_is_told(store, client):
+    store.forgotten = 100
+    with pytest.raises(HistoryLostError):
+        await client.changes(5)
+
+
+@pytest.mark.parametrize("fault", ["503", "429", "silent"])
+async def test_a_store_that_does_not_serve_is_an_error(
+    store, client, fault, monkeypatch
+):
+    monkeypatch.setattr(module, "CALL_TIMEOUT_S", 0.2)
+    store.fault = fault
+    with pytest.raises(PlatformError):
+        await client.snapshot()
+    store.fault = ""
+    # Guards against a late answer that is taken for that of the next call.
+    assert (await client.snapshot()).config is not None
+
+
+async def test_a_config_that_is_deleted_is_no_config(store, client):
+    before = (await client.snapshot()).directory.revision
+    store.delete("op/config")
+    assert (await client.changes(before)).config is None
+
+
+async def test_items_without_key_or_revision_are_left_out(store, client, log):
+    # Guards against an item that ends the task which reads the store.
+    store.items["servers/i-b"] = {"key": "servers/i-b", "value": ""}
+    store.items["servers/i-c"] = ["servers/i-c"]
+    news = await client.snapshot()
+    assert [change.id for change in news.directory.targets] == ["i-a"]
+    assert len([line for line in log if line["event"] == 413]) == 2
--- /dev/null
+++ b/test/state/test_selection.py
@@ -0,0 +1,71 @@
+"""Which target of a shard gets a sub-request."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from filbertshelf.clock import ManualClock
+from filbertshelf.state.outcome import Reason, Result
+from filbertshelf.state.publication import Target
+from filbertshelf.state.replicas import TargetState
+from filbertshelf.state.selection import Candidate, choose_nearest
+
+RNG = random.Random(1)
+
+
+def candidate(clock, name, local, latency_s=0.0, answers=5) -> Candidate:
+    """Return a target with some answers behind it."""
+    state = TargetState(Target(name, "", "", {}, 2, 0), clock, RNG)
+    for _ in range(answers if latency_s else 0):
+        state.started()
+        state.finished(Result.ANSWERED, Reason.NONE, latency_s)
+    return Candidate(state, local)
+
+
+def chosen(candidates, clock, rounds=100) -> set[str]:
+    """Return the names that are chosen in some rounds."""
+    now = clock.monotonic()
+    found = (choose_nearest(candidates, (), now, RNG) for _ in range(rounds))
+    return {item.state.name for item in found}
+
+
+def test_the_local_target_of_two_equal_ones_is_chosen():
+    # Guards against bytes between data centres where the targets are equal.
+    clock = ManualClock()
+    pair = [candidate(clock, "far", False, 0.03), candidate(clock, "near", True, 0.03)]
+    assert chosen(pair, clock) == {"near"}
+
+
+def test_a_much_slower_local_target_loses():
+    clock = ManualClock()
+    pair = [candidate(clock, "far", False, 0.03), candidate(clock, "near", True, 0.3)]
+    assert chosen(pair, clock) == {"far"}
+
+
+def test_a_target_that_stands_still_is_left_alone():
+    # Guards against queries that follow each other into a pausing target.
+    clock = ManualClock()
+    near = candidate(clock, "near", True, 0.03)
+    near.state.started()
+    near.oldest_start = clock.monotonic()
+    clock.advance(timedelta(milliseconds=120).total_seconds())
+    pair = [candidate(clock, "far", False, 0.03), near]
+    assert chosen(pair, clock) == {"far"}
+
+
+def test_a_new_target_is_preferred_to_siblings_that_fail():
+    # Guards against taking the penalty of a failing target for the usual latency.
+    clock = ManualClock()
+    failing = candidate(clock, "failing", True)
+    failing.state.started()
+    failing.state.finished(Result.NOT_RUN, Reason.OVERLOADED, 0.002)
+    pair = [failing, candidate(clock, "new", False)]
+    assert chosen(pair, clock) == {"new"}
+
+
+def test_a_draining_target_is_never_chosen():
+    clock = ManualClock()
+    only = candidate(clock, "only", True, 0.03)
+    only.state.draining = True
+    assert choose_nearest([only], (), clock.monotonic(), RNG) is None
--- /dev/null
+++ b/test/transport/test_http_client.py
@@ -0,0 +1,214 @@
+"""The client's connections against servers that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from filbertshelf.clock import SystemClock
+from filbertshelf.transport.http1.client import ConnectionPool, End, Exchange
+
+HEAD = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+ONE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: %d\r\n\r\nok"
+
+
+class Server:
+    """Answers the n-th request of a connection with the n-th of some bytes."""
+
+    def __init__(self, *answers: bytes, reset: bool = False, close: bool = False):
+        self.answers = answers
+        self.reset = reset
+        self.close = close
+        self.requests: list[bytes] = []
+        self.connections = 0
+
+    async def handle(self, reader, writer):
+        """Answer the requests of one connection."""
+        self.connections += 1
+        for answer in self.answers:
+            try:
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            writer.write(answer)
+            await writer.drain()
+        if self.reset:
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if self.reset or self.close:
+            writer.close()
+        else:
+            await reader.read()
+            writer.close()
+
+
+@pytest.fixture
+async def pool_of():
+    """Return a function that starts a server and returns a pool to it."""
+    servers = []
+    pools = []
+
+    async def start(server: Server, quota: int = 1) -> ConnectionPool:
+        listening = await asyncio.start_server(server.handle, "127.0.0.1", 0)
+        servers.append(listening)
+        address = listening.sockets[0].getsockname()[:2]
+        pools.append(ConnectionPool(address, quota, SystemClock()))
+        return pools[-1]
+
+    yield start
+    for pool in pools:
+        pool.close()
+    for listening in servers:
+        listening.close()
+
+
+def submit(pool: ConnectionPool, head: bytes = HEAD, **options) -> asyncio.Future:
+    ended = asyncio.get_running_loop().create_future()
+    exchange = Exchange(lambda: head, b"", ended.set_result, **options)
+    pool.submit(exchange)
+    ended.exchange = exchange
+    return ended
+
+
+async def run(pool: ConnectionPool, head: bytes = HEAD, **options) -> Exchange:
+    return await asyncio.wait_for(submit(pool, head, **options), 3)
+
+
+async def test_a_connection_is_kept_for_the_next_request(pool_of):
+    # Guards against a new connection for each request, which costs the target 6 ms.
+    server = Server(ONE % 1, ONE % 2, ONE % 3)
+    pool = await pool_of(server)
+    for _ in range(3):
+        assert (await run(pool)).response_body == b"ok"
+    assert server.connections == 1
+
+
+async def test_bytes_after_a_response_belong_to_no_request(pool_of):
+    # Guards against taking a second answer for the answer of the next request.
+    server = Server(ONE % 1 + ONE % 9, ONE % 2)
+    pool = await pool_of(server)
+    first = await run(pool)
+    second = await run(pool)
+    assert [dict(e.fields)[b"Id"] for e in (first, second)] == [b"1", b"1"]
+    assert server.connections == 2
+
+
+async def test_a_late_extra_response_ends_the_idle_connection(pool_of):
+    server = Server(ONE % 1, ONE % 2)
+    pool = await pool_of(server)
+    await run(pool)
+    assert pool.size == 1
+    conn = pool._idle[0]
+    conn.data_received(ONE % 9)
+    await asyncio.sleep(0.05)
+    assert pool.size == 0
+
+
+async def test_a_response_that_breaks_off_is_not_complete(pool_of):
+    pool = await pool_of(Server((ONE % 1)[:-1], close=True))
+    assert (await run(pool)).end is End.LOST
+
+
+async def test_a_body_without_length_ends_with_the_connection(pool_of):
+    pool = await pool_of(Server(b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall", close=True))
+    exchange = await run(pool)
+    assert (exchange.end, exchange.response_body) == (End.RESPONDED, b"all")
+
+
+async def test_a_body_without_length_that_is_reset_is_not_complete(pool_of):
+    # Guards against half a body that looks whole.
+    pool = await pool_of(Server(b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhal", reset=True))
+    assert (await run(pool)).end is End.LOST
+
+
+async def test_what_is_no_response_is_malformed(pool_of):
+    pool = await pool_of(Server(b"\x00\x01nonsense\r\n\r\n"))
+    assert (await run(pool)).end is End.MALFORMED
+
+
+async def test_a_chunked_body_is_whole(pool_of):
+    chunked = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    )
+    server = Server(chunked, ONE % 2)
+    pool = await pool_of(server)
+    assert (await run(pool)).response_body == b"ok"
+    await run(pool)
+    assert server.connections == 1
+
+
+async def test_an_interim_response_is_dropped(pool_of):
+    pool = await pool_of(Server(b"HTTP/1.1 100 Continue\r\n\r\n" + ONE % 1))
+    exchange = await run(pool)
+    assert (exchange.status, exchange.response_body) == (200, b"ok")
+
+
+async def test_a_response_without_body_ends_with_its_head(pool_of):
+    # Guards against waiting for a body that HEAD never brings.
+    pool = await pool_of(Server(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"))
+    exchange = await run(pool, without_body=True)
+    assert (exchange.end, exchange.response_body) == (End.RESPONDED, b"")
+
+
+async def test_a_connection_is_not_used_to_the_end_of_its_idle_time(pool_of):
+    # Guards against a request that meets the end of its connection half way.
+    keep = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=1\r\n\r\n"
+    server = Server(keep, keep)
+    pool = await pool_of(server)
+    await run(pool)
+    await asyncio.sleep(0.6)
+    await run(pool)
+    assert server.connections == 2
+
+
+async def test_a_closing_target_gets_no_second_request(pool_of):
+    last = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    server = Server(last, last)
+    pool = await pool_of(server)
+    await run(pool)
+    await run(pool)
+    assert server.connections == 2
+
+
+async def test_no_more_connections_than_the_quota(pool_of):
+    server = Server(*(ONE % n for n in range(9)))
+    pool = await pool_of(server, quota=2)
+    ended = [submit(pool) for _ in range(8)]
+    await asyncio.wait_for(asyncio.gather(*ended), 3)
+    assert server.connections == 2
+
+
+async def test_a_refused_connection_has_not_sent_anything():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        pool = ConnectionPool(sock.getsockname(), 1, SystemClock())
+        exchange = await run(pool)
+    assert (exchange.end, exchange.written) == (End.NOT_CONNECTED, False)
+
+
+async def test_a_cancelled_exchange_closes_its_connection(pool_of):
+    # Guards against a late response that is taken for the next one.
+    server = Server(b"", ONE % 2)
+    pool = await pool_of(server)
+    ended = submit(pool)
+    await asyncio.sleep(0.05)
+    pool.cancel(ended.exchange)
+    assert (await ended).end is End.CANCELLED
+    await asyncio.sleep(0.05)
+    assert pool.size == 0
+
+
+async def test_each_exchange_ends_once_when_the_pool_closes(pool_of):
+    server = Server(b"")
+    pool = await pool_of(server)
+    running = submit(pool)
+    waiting = submit(pool)
+    await asyncio.sleep(0.05)
+    pool.close()
+    assert (await waiting).end is End.NOT_SENT
+    pool.cancel(running.exchange)
+    assert (await running).end is End.CANCELLED
--- /dev/null
+++ b/test/transport/test_http_server.py
@@ -0,0 +1,209 @@
+"""The callers' server: what it takes, what it refuses, and how it closes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from filbertshelf.clock import SystemClock
+from filbertshelf.protocol.heads import Response
+from filbertshelf.state.routing import Limits
+from filbertshelf.transport.http1.server import HttpServer
+
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Echo:
+    """Answers with the method, the target and the body, or holds requests back."""
+
+    def __init__(self):
+        self.held = []
+        self.hold = False
+        self.gone = []
+        self.seen = []
+        self.refused = []
+        self.bounds = Limits(1_000, 2_000, 0.3, 0.6)
+
+    def handle(self, req):
+        """Answer, or hold the request back."""
+        self.seen.append(req)
+        req.on_gone = lambda: self.gone.append(req)
+        if self.hold:
+            self.held.append(req)
+        else:
+            req.reply(Response(200, (), req.method + b" " + req.target + req.body))
+
+    def limits(self):
+        """Return the limits."""
+        return self.bounds
+
+    def rejected(self, status, reason):
+        """Note the status."""
+        self.refused.append(status)
+
+
+@pytest.fixture
+def app():
+    """Return what handles the requests."""
+    return Echo()
+
+
+@pytest.fixture
+async def server(app):
+    """Return a server that listens."""
+    found = HttpServer(("127.0.0.1", 0), app, SystemClock())
+    await found.start()
+    yield found
+    await found.stop()
+
+
+async def talk(server, *parts: bytes, pause: float = 0.0) -> bytes:
+    """Send the parts and return all that comes until the connection ends."""
+    reader, writer = await asyncio.open_connection(*server.address)
+    for part in parts:
+        writer.write(part)
+        await writer.drain()
+        await asyncio.sleep(pause)
+    data = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return data
+
+
+def statuses(data: bytes) -> list[int]:
+    """Return the statuses of all responses in the data."""
+    return [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
+
+
+async def test_pipelined_requests_are_answered_in_order(server, app):
+    app.hold = True
+    asking = asyncio.create_task(
+        talk(server, GET.replace(b"/x", b"/1") + GET.replace(b"/x", b"/2"))
+    )
+    while not app.held:
+        await asyncio.sleep(0.01)
+    assert len(app.seen) == 1
+    app.hold = False
+    app.held[0].reply(Response(200, (), b"first"))
+    data = await asking
+    assert data.index(b"first") < data.index(b"GET /2")
+
+
+async def test_a_request_in_small_pieces_is_whole(server):
+    post = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+    pieces = [post[at : at + 7] for at in range(0, len(post), 7)]
+    data = await talk(server, *pieces, pause=0.005)
+    assert b"POST /xhello" in data
+
+
+async def test_a_chunked_body_is_put_together(server):
+    post = (
+        b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+    )
+    assert b"POST /xhello" in await talk(server, post)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 5\r\nContent-Length: 6\r\n",
+        b"Content-Length: -1\r\n",
+        b"Transfer-Encoding: chunked, gzip\r\n",
+        b"X: a\nb\r\n",
+        b"Bad Name: 1\r\n",
+    ],
+)
+async def test_what_could_hide_a_second_request_is_refused(server, app, head):
+    # Guards against smuggling: a body that two parsers delimit differently.
+    post = b"POST /x HTTP/1.1\r\nHost: h\r\n" + head + b"\r\n0\r\n\r\nGET /y HTTP/1.1"
+    data = await talk(server, post + b"\r\nHost: h\r\n\r\n")
+    assert statuses(data)[0] == 400
+    assert b"/y" not in data
+    assert [req.target for req in app.seen] == []
+
+
+async def test_what_is_no_request_is_refused(server, app):
+    assert statuses(await talk(server, b"\x16\x03\x01nonsense\r\n\r\n")) == [400]
+    assert app.refused == [400]
+
+
+async def test_long_headers_are_refused(server):
+    long = b"GET /x HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 2_000 + b"\r\n\r\n"
+    assert statuses(await talk(server, long)) == [431]
+
+
+async def test_headers_without_an_end_are_refused(server):
+    assert statuses(await talk(server, b"GET /x HTTP/1.1\r\nX: " + b"a" * 2_000)) == [
+        431
+    ]
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [b"Content-Length: 3000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\nbb8\r\n"],
+)
+async def test_a_long_body_is_refused_without_a_reset(server, app, framing):
+    # Guards against a response that is lost because unread bytes reset the connection.
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\n" + framing
+    assert statuses(await talk(server, head + b"a" * 3_000)) == [413]
+    assert app.seen == []
+
+
+async def test_a_head_that_does_not_come_is_timed_out(server, app):
+    assert statuses(await talk(server, b"GET /x HTTP/1.1\r\nHo")) == [408]
+
+
+async def test_an_idle_connection_is_closed_without_an_answer(server):
+    assert await talk(server) == b""
+
+
+async def test_head_gets_no_body(server):
+    data = await talk(server, GET.replace(b"GET", b"HEAD"))
+    assert data.endswith(b"\r\n\r\n")
+    assert b"Content-Length: 7" in data
+
+
+async def test_an_expected_continue_is_sent(server):
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2"
+    data = await talk(server, head + b"\r\n\r\n", b"ok", pause=0.05)
+    assert statuses(data) == [100, 200]
+
+
+async def test_the_app_learns_that_the_caller_left(server, app):
+    app.hold = True
+    _reader, writer = await asyncio.open_connection(*server.address)
+    writer.write(GET)
+    while not app.held:
+        await asyncio.sleep(0.01)
+    writer.close()
+    for _ in range(100):
+        if app.gone:
+            break
+        await asyncio.sleep(0.01)
+    assert app.gone == app.held
+    app.held[0].reply(Response(200))
+
+
+async def test_connection_close_is_heeded(server):
+    data = await talk(
+        server, GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    )
+    assert b"Connection: close" in data
+
+
+async def test_a_stopping_server_finishes_what_it_has_read(server, app):
+    # Guards against a stop that drops a request that was read.
+    app.hold = True
+    asking = asyncio.create_task(talk(server, GET))
+    while not app.held:
+        await asyncio.sleep(0.01)
+    server.stopping = True
+    server.stop_listening()
+    assert server.in_flight == 1
+    app.held[0].reply(Response(200, (), b"done"))
+    data = await asking
+    assert b"Connection: close" in data
+    assert data.endswith(b"done")
+    assert server.in_flight == 0
