--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -21,7 +21,7 @@
 from filbertshelf.state.selection import Candidate, choose_nearest
 from filbertshelf.transport.http1.client import ConnectionPool, End, Exchange
 
-CONNECTION_SHARE = 0.8
+CONNECTION_SHARE = 0.9
 """The part of a target's connections that is used; a busy target accepts fewer."""
 
 DEFAULT_CONNECTIONS = 32
