Reload settings, count crashing requests, notice pauses, and serve metrics

SIGHUP ended the process; it now reads the settings again, as it does when the file changes without a signal. Deadlines count a suspension (CLOCK_BOOTTIME). Counters and histograms are served as text; detail lines are bounded for each request and second.

--- a/filbertshelf/clock.py
+++ b/filbertshelf/clock.py
@@ -39,6 +39,14 @@
         await asyncio.sleep(seconds)
 
 
+class BootClock(SystemClock):
+    """The clock of a machine that may be suspended; `monotonic` counts that time."""
+
+    def monotonic(self) -> float:
+        """Return the seconds since the machine was started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock for tests that moves only when `advance` is called."""
 
--- a/filbertshelf/commands/daemon.py
+++ b/filbertshelf/commands/daemon.py
@@ -21,24 +21,29 @@
     make: Callable[[], mode.Service],
     ready_file: str,
     addresses: Callable[[mode.Service], Mapping[str, object]],
+    reload: Callable[[mode.Service], None] | None = None,
 ) -> int:
     """Start the service that `make` returns and return 0 once it has stopped.
 
     The bound addresses are written to `ready_file` as JSON when it has started.
+    `reload` is called with the service for each SIGHUP.
     """
-    return uvloop.run(_serve(make, ready_file, addresses))
+    return uvloop.run(_serve(make, ready_file, addresses, reload))
 
 
 async def _serve(
     make: Callable[[], mode.Service],
     ready_file: str,
     addresses: Callable[[mode.Service], Mapping[str, object]],
+    reload: Callable[[mode.Service], None] | None,
 ) -> int:
     service = make()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload, service)
     await service.start()
     tune_collector()
     if ready_file:
--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -107,7 +107,8 @@
         super().__init__()
         self.table: RouteTable | None = None
         self.directory = Directory()
-        self._cfg = cfg
+        self._name = cfg.instance.name
+        self._seeds = cfg.instance.peers
         self._clock = clock
         self._rng = rng
         self._source = source
@@ -133,6 +134,14 @@
         """Return how old the newest confirmation by the platform is, in seconds."""
         return self._clock.monotonic() - self._fresh_at
 
+    def refresh(self) -> None:
+        """Ask the platform soon, because what is known may be old."""
+        self._fresh_at = -math.inf
+
+    def set_seeds(self, seeds: Sequence[Address]) -> None:
+        """Take other addresses to ask while no member is known."""
+        self._seeds = tuple(seeds)
+
     # Asking the platform.
 
     @mode.Service.task
@@ -159,7 +168,7 @@
         """Return how many instances ask before this one, the most if none is known."""
         if self._membership.size_seen() == 1:
             return MAX_RANK
-        own = self._cfg.instance.name
+        own = self._name
         alive = (m for m in self._membership.members() if m.status is Status.ALIVE)
         return sum(member.id < own for member in alive)
 
@@ -252,7 +261,7 @@
     async def _ask_any(self) -> None:
         """Ask a member, and one of the addresses in the settings."""
         asked = [member.address for member in self._membership.random_peers(1)]
-        known = [a for a in self._cfg.instance.peers if a != self._peers.address]
+        known = [a for a in self._seeds if a != self._peers.address]
         if known:
             asked.append(self._rng.choice(known))
         await asyncio.gather(*(self._ask(address) for address in asked))
--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from filbertshelf.coordination.routed import Result, RoutedRequest, Timer, Tools
-from filbertshelf.coordination.shard_call import ShardCall
+from filbertshelf.coordination.routed import Ending, RoutedRequest, Timer, Tools
+from filbertshelf.coordination.shard_call import ShardCall, slowest
 from filbertshelf.protocol.dialect import refusal
 from filbertshelf.protocol.heads import Response, end_to_end
 from filbertshelf.state.routing import Repeat
@@ -33,7 +33,7 @@
         tools: Tools,
         job: RoutedRequest,
         service: str,
-        done: Callable[[Result], None],
+        done: Callable[[Ending], None],
     ):
         self._tools = tools
         self._job = job
@@ -83,6 +83,11 @@
             wait = BUSY_RETRY_S if call.sends else NO_TARGET_RETRY_S
             self._finish(refusal(503, wait), "not run")
 
+    def resumed(self) -> None:
+        """End the request if its time passed while the process did not run."""
+        if not self._ended and self._tools.clock.monotonic() >= self._job.deadline:
+            self._timed_out()
+
     # Timers and the end.
 
     def _hedge(self) -> None:
@@ -107,7 +112,9 @@
             self._tools.call_later(left + CLEANUP_S, call.cancel)
         missing = () if call.answer else (f"{call.service}: {call.reason.value}",)
         extra = max(0, call.sends - 1)
-        self._done(Result(response, outcome, call.sends, extra, missing))
+        self._done(
+            Ending(response, outcome, call.sends, extra, missing, slowest([call]))
+        )
 
     def _end(self) -> None:
         self._ended = True
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -1,14 +1,17 @@
-"""A gateway: serves routes by host and path, and stops gracefully."""
+"""A gateway: an instance that serves routes by host and path."""
 
 from __future__ import annotations
 
 import asyncio
 import math
 import random
+from collections.abc import Callable
+from typing import Protocol
 
+import attrs
 import mode
 
-from filbertshelf import events
+from filbertshelf import __version__, events
 from filbertshelf.clock import Clock, SystemClock
 from filbertshelf.coordination.feed import (
     Decoder,
@@ -16,31 +19,42 @@
     FeedListener,
     PlatformSource,
 )
-from filbertshelf.coordination.forward import Forward
-from filbertshelf.coordination.gather import Gather
 from filbertshelf.coordination.listed_targets import UNKNOWN_FLEET, ListedTargets
 from filbertshelf.coordination.membership import Membership
-from filbertshelf.coordination.routed import Result, RoutedRequest, Tools
+from filbertshelf.coordination.notices import Notices
+from filbertshelf.coordination.routed import Timer, Tools
+from filbertshelf.coordination.router import DEFAULT_LIMITS, Router
+from filbertshelf.errors import SettingsError
+from filbertshelf.gateway_metrics import GatewayMetrics, MetricsPage
 from filbertshelf.gateway_settings import GatewaySettings
-from filbertshelf.protocol.dialect import HeaderNames, Judge, refusal
-from filbertshelf.protocol.heads import Response, find, find_all
+from filbertshelf.protocol.dialect import HeaderNames, Judge
+from filbertshelf.protocol.heads import Response
+from filbertshelf.protocol.notices import Notice, Topic
+from filbertshelf.settings import digest_of_settings
+from filbertshelf.state.crashes import Crashes
 from filbertshelf.state.members import Identity
-from filbertshelf.state.routing import Limits, RouteTable, ShareSequence
+from filbertshelf.state.pause import PauseGuard
+from filbertshelf.state.routing import Limits
 from filbertshelf.transport.http1.server import HttpServer, Request
 from filbertshelf.transport.log_pipe import LogPipe
 from filbertshelf.transport.peers import Peers
 
 STDOUT = 1
 
-NOT_READY_RETRY_S = 0.3
-"""When to come back to a fleet of which this instance knows no configuration."""
-
 FLEET_GROWTH = 1.3
 """The part by which more instances may run than were ever seen."""
 
 FLEET_KNOWN_S = 3.0
 """The time after the start in which the members are found."""
 
+PAUSE_S = 1.0
+"""A process that did not run for so long takes what it knows for old."""
+
+PAUSE_CHECK_S = 0.2
+
+SETTINGS_CHECK_S = 2.0
+"""How often the settings are looked at, as they may change without a signal."""
+
 STOP_SERVE_S = 2.6
 """How long a stopping instance takes new connections; the platform notices within."""
 
@@ -48,19 +62,27 @@
 """The part of the stop's grace that is left for the end of the process."""
 
 DRAIN_CHECK_S = 0.05
-MAX_DEADLINE_S = 600.0
-DEFAULT_LIMITS = Limits()
+
+
+class SettingsSource(Protocol):
+    """Where the settings come from."""
+
+    def load(self) -> GatewaySettings:
+        """Return the settings; raises `SettingsError`."""
+
+    def changed(self) -> bool:
+        """Return whether the settings were written since the last `load`."""
 
 
 class ReadyCheck:
     """Answers the platform's question whether callers may be sent here."""
 
-    def __init__(self, gateway: Gateway):
-        self._gateway = gateway
+    def __init__(self, ready: Callable[[], bool]):
+        self._ready = ready
 
     def handle(self, req: Request) -> None:
         """Answer with 200 or 503."""
-        req.reply(Response(200 if self._gateway.ready() else 503))
+        req.reply(Response(200 if self._ready() else 503))
 
     def limits(self) -> Limits:
         """Return the limits for the platform's requests."""
@@ -78,62 +100,106 @@
 
 
 class Gateway(mode.Service):
-    """One instance that passes callers' requests on by route."""
+    """Assembles the services of a gateway, reloads its settings and stops it."""
 
     def __init__(
         self,
-        cfg: GatewaySettings,
+        settings: SettingsSource,
         names: HeaderNames,
-        source: PlatformSource,
+        make_source: Callable[[GatewaySettings, Clock], PlatformSource],
         decode: Decoder,
         clock: Clock | None = None,
         rng: random.Random | None = None,
     ):
+        """Read the settings; raises `SettingsError` if that fails."""
         super().__init__()
-        self.cfg = cfg
+        self.cfg = settings.load()
         self.clock = clock or SystemClock()
+        self._settings = settings
         self._rng = rng or random.Random()
+        cfg = self.cfg
         instance = cfg.instance
         identity = Identity.start(instance.name, instance.data_centre, self.clock)
         self._identity = identity
-        self._names = names
+        self.metrics = GatewayMetrics()
         self.peers = Peers(instance, identity, self.clock)
         self.membership = Membership(
             instance, identity, self.clock, self.peers, self._rng
         )
-        self.targets = ListedTargets(cfg, self.clock, self._rng, self._call_later)
+        self.notices = Notices(self.peers, self.membership)
+        self.targets = ListedTargets(cfg, self.clock, self._rng, _call_later)
+        self.crashes = Crashes(self.clock)
+        self.tools = Tools(
+            self.clock,
+            _call_later,
+            self.targets,
+            names,
+            Judge(names),
+            self.crashes,
+            self._crashed,
+        )
         self.feed = Feed(
             cfg,
             self.clock,
             self._rng,
-            source,
+            make_source(cfg, self.clock),
             decode,
             self.peers,
             self.membership,
-            FeedListener(self._on_table, self.targets.apply),
-        )
-        self.tools = Tools(
-            self.clock, self._call_later, self.targets, names, Judge(names)
+            FeedListener(self.targets.apply_table, self.targets.apply),
         )
+        self.router = Router(self.tools, self.feed, self.metrics, self._rng)
         self.log_pipe = LogPipe(STDOUT, self._lines_dropped)
-        self.server = HttpServer(cfg.listen, self, self.clock)
-        self.ready_server = HttpServer(cfg.ready_listen, ReadyCheck(self), self.clock)
-        self._shares: dict[str, ShareSequence] = {}
+        self.server = HttpServer(cfg.listen, self.router, self.clock)
+        self.ready_server = HttpServer(
+            cfg.ready_listen, ReadyCheck(self.ready), self.clock
+        )
+        self._guard = PauseGuard(self.clock, PAUSE_S)
         self._stopping = False
         self._most_members = 1
         self._started_at = self.clock.monotonic()
         self._was_ready = False
+        self.notices.subscribe(Topic.REQUEST_CRASHED, self._on_crash_notice)
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge(
+            "feed_age_seconds",
+            "Seconds since the platform last confirmed what is known.",
+            lambda: min(self.feed.age_s(), 1e9),
+        )
+        gauge(
+            "config_version",
+            "The version of the configuration in force, 0 if none is.",
+            lambda: self.feed.table.version if self.feed.table else 0,
+        )
+        gauge("members", "Instances that are believed alive.", self._members)
+        gauge("targets", "Listed targets.", lambda: len(self.targets.states()))
+        gauge(
+            "requests_in_flight",
+            "Requests that wait for their answer.",
+            lambda: self.server.in_flight,
+        )
+
+    def _members(self) -> int:
+        return self.membership.size_seen()
 
     async def on_start(self) -> None:
         """Start the services; callers are accepted last."""
-        for service in (
+        services: list[mode.Service] = [
             self.log_pipe,
             self.peers,
             self.membership,
+            self.notices,
             self.feed,
             self.ready_server,
             self.server,
-        ):
+        ]
+        if self.cfg.metrics_listen is not None:
+            page = MetricsPage(self.metrics)
+            services.append(HttpServer(self.cfg.metrics_listen, page, self.clock))
+        for service in services:
             await self.add_runtime_dependency(service)
         events.emit(
             events.STARTED,
@@ -142,139 +208,53 @@
             address="{}:{}".format(*self.server.address),
             peer_address="{}:{}".format(*self.peers.address),
             data_centre=self.cfg.instance.data_centre,
+            version=__version__,
+            settings=digest_of_settings(self.cfg),
         )
 
     def ready(self) -> bool:
         """Return whether callers may be sent here."""
         return self.feed.ready and not self._stopping
 
-    def limits(self) -> Limits:
-        """Return what callers may send now."""
-        table = self.feed.table
-        return DEFAULT_LIMITS if table is None else table.limits
-
-    def rejected(self, status: int, reason: str) -> None:
-        """Take note of a request that the server refused."""
-        self._log_refused(b"", status, reason)
+    # Requests that crash targets.
 
-    # Requests.
-
-    def handle(self, req: Request) -> None:
-        """Pass a request on, or refuse it at once."""
-        table = self.feed.table
-        request_id = find(req.fields, self._names.request_id.lower()) or b""
-        if table is None or not self.feed.ready:
-            self._refuse(req, request_id, 503, "no configuration is known")
-            return
-        hosts = find_all(req.fields, b"host")
-        if len(hosts) != 1 or not request_id:
-            self._refuse(req, request_id, 400, "the host or the request id is missing")
-            return
-        path = req.target.partition(b"?")[0].decode("latin-1")
-        route = table.match(hosts[0].decode("latin-1"), path)
-        if route is None:
-            self._refuse(req, request_id, 404, "no route matches")
-            return
-        wait_s = self._wait_s(req)
-        if wait_s is None:
-            self._refuse(req, request_id, 400, "the deadline is not a number")
-            return
-        deadline = req.received_at + min(wait_s, route.timeout_s)
-        job = RoutedRequest.make(req, request_id, route, table, deadline, self._names)
-        self._start(job)
-
-    def _wait_s(self, req: Request) -> float | None:
-        """Return how many seconds the caller waits, None if it is malformed."""
-        value = find(req.fields, self._names.deadline_ms.lower())
-        if value is None:
-            return MAX_DEADLINE_S
-        if not value.isdigit():
-            return None
-        return min(MAX_DEADLINE_S, int(value) / 1000)
-
-    def _start(self, job: RoutedRequest) -> None:
-        def done(result: Result) -> None:
-            self._answer(job, result)
-
-        if job.route.gather is not None:
-            run: Gather | Forward = Gather(self.tools, job, done)
-        else:
-            service = self._sequence(job).next(job.route.shares).service
-            run = Forward(self.tools, job, service, done)
-
-        def caller_left() -> None:
-            elapsed = self.clock.monotonic() - job.req.received_at
-            events.emit(
-                events.CALLER_LEFT,
-                request_id=job.id.decode("latin-1"),
-                elapsed_ms=round(elapsed * 1000, 1),
-            )
-            run.caller_left()
-
-        job.req.on_gone = caller_left
-        run.start()
-
-    def _sequence(self, job: RoutedRequest) -> ShareSequence:
-        sequence = self._shares.get(job.route.name)
-        if sequence is None:
-            sequence = ShareSequence(self._rng.random())
-            self._shares[job.route.name] = sequence
-        return sequence
-
-    def _answer(self, job: RoutedRequest, result: Result) -> None:
-        job.req.on_gone = None
-        elapsed = self.clock.monotonic() - job.req.received_at
-        job.req.reply(result.response)
-        events.emit(
-            events.ROUTED_ANSWERED,
-            request_id=job.id.decode("latin-1"),
-            route=job.route.name,
-            version=job.table.version,
-            status=result.response.status,
-            outcome=result.outcome,
-            elapsed_ms=round(elapsed * 1000, 1),
-            sub_requests=result.sub_requests,
-            extra=result.extra,
-            missing=list(result.missing),
-            age_s=round(self.feed.age_s(), 2),
-        )
+    def _crashed(self, fingerprint: str, request_id: str, wave: int) -> None:
+        self.metrics.crashes.inc()
+        self._count_crash(fingerprint, request_id, wave, self.cfg.instance.name)
+        subject = f"{fingerprint} {request_id}"
+        self.notices.broadcast(Topic.REQUEST_CRASHED, subject, float(wave))
 
-    def _refuse(self, req: Request, request_id: bytes, status: int, why: str) -> None:
-        wait = NOT_READY_RETRY_S if status == 503 else None
-        req.reply(refusal(status, wait))
-        self._log_refused(request_id, status, why)
+    def _on_crash_notice(self, notice: Notice) -> None:
+        fingerprint, _, request_id = notice.subject.partition(" ")
+        self._count_crash(fingerprint, request_id, int(notice.seconds), notice.origin)
 
-    def _log_refused(self, request_id: bytes, status: int, why: str) -> None:
-        table = self.feed.table
+    def _count_crash(
+        self, fingerprint: str, request_id: str, wave: int, source: str
+    ) -> None:
+        crashes = self.crashes.died(fingerprint, request_id, wave)
         events.emit(
-            events.ROUTED_REFUSED,
-            request_id=request_id.decode("latin-1"),
-            status=status,
-            reason=why,
-            version=table.version if table else 0,
+            events.CRASH_COUNTED,
+            request_id=request_id,
+            fingerprint=fingerprint,
+            crashes=crashes,
+            source=source,
         )
 
-    # Changes.
-
-    def _on_table(self, table: RouteTable) -> None:
-        self.targets.apply_table(table)
-
-    def _call_later(self, seconds: float, func) -> asyncio.TimerHandle:
-        return asyncio.get_running_loop().call_later(seconds, func)
-
     def _lines_dropped(self, count: int) -> None:
+        self.metrics.lines_left_out.inc(count)
         events.emit(events.LINES_DROPPED, count=count)
 
+    # What changes while the gateway runs.
+
     @mode.Service.task
     async def _watch_fleet(self) -> None:
         """Keep the shares of limits in line with the size of the fleet."""
         while not self.should_stop:
             await self.clock.sleep(1.0)
             self._most_members = max(self._most_members, self.membership.size_seen())
-            if self.clock.monotonic() - self._started_at < FLEET_KNOWN_S:
-                self.targets.set_fleet(UNKNOWN_FLEET)
-            else:
-                self.targets.set_fleet(math.ceil(FLEET_GROWTH * self._most_members))
+            known = self.clock.monotonic() - self._started_at >= FLEET_KNOWN_S
+            size = math.ceil(FLEET_GROWTH * self._most_members)
+            self.targets.set_fleet(size if known else UNKNOWN_FLEET)
             self._note_ready()
 
     def _note_ready(self) -> None:
@@ -284,6 +264,39 @@
             events.emit(events.READY, reason=f"version {version}")
         self._was_ready = ready
 
+    @mode.Service.task
+    async def _watch_pauses(self) -> None:
+        while not self.should_stop:
+            await self.clock.sleep(PAUSE_CHECK_S)
+            paused = self._guard.check()
+            if paused:
+                events.emit(events.PAUSED, paused_s=round(paused, 3))
+                self.router.resumed()
+                self.feed.refresh()
+                self._guard.acknowledge()
+            self._guard.tick()
+
+    @mode.Service.task
+    async def _watch_settings(self) -> None:
+        while not self.should_stop:
+            await self.clock.sleep(SETTINGS_CHECK_S)
+            if self._settings.changed():
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings again and apply what can change without a restart."""
+        try:
+            cfg = self._settings.load()
+        except SettingsError as exc:
+            events.emit(events.RELOAD_FAILED, reason=str(exc))
+            return
+        old, self.cfg = self.cfg, cfg
+        self.targets.set_retries(cfg.retries)
+        self.feed.set_seeds(cfg.instance.peers)
+        changed = _changed_fields(old, cfg)
+        restart = [name for name in changed if name.endswith("listen")]
+        events.emit(events.RELOADED, changed=changed, need_restart=restart)
+
     # Stopping.
 
     async def on_stop(self) -> None:
@@ -299,3 +312,12 @@
             await self.clock.sleep(DRAIN_CHECK_S)
         events.emit(events.STOPPED, in_flight=self.server.in_flight)
         self.targets.close()
+
+
+def _call_later(seconds: float, func: Callable[[], None]) -> Timer:
+    return asyncio.get_running_loop().call_later(seconds, func)
+
+
+def _changed_fields(old: GatewaySettings, new: GatewaySettings) -> list[str]:
+    names = [field.name for field in attrs.fields(GatewaySettings)]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -9,8 +9,8 @@
     CLEANUP_S,
     NO_TARGET_RETRY_S,
 )
-from filbertshelf.coordination.routed import Result, RoutedRequest, Timer, Tools
-from filbertshelf.coordination.shard_call import ShardCall
+from filbertshelf.coordination.routed import Ending, RoutedRequest, Timer, Tools
+from filbertshelf.coordination.shard_call import ShardCall, slowest
 from filbertshelf.protocol.dialect import refusal
 from filbertshelf.protocol.heads import Response
 from filbertshelf.state.answer_time import AnswerRule
@@ -30,7 +30,7 @@
     """Asks one target of each shard and merges what they answer."""
 
     def __init__(
-        self, tools: Tools, job: RoutedRequest, done: Callable[[Result], None]
+        self, tools: Tools, job: RoutedRequest, done: Callable[[Ending], None]
     ):
         self._tools = tools
         self._job = job
@@ -63,6 +63,11 @@
         self._end()
         self._tools.call_later(CLEANUP_S, self._cancel)
 
+    def resumed(self) -> None:
+        """End the request if its time passed while the process did not run."""
+        if self._tools.clock.monotonic() >= self._job.deadline:
+            self._timed_out()
+
     # What the shard calls tell.
 
     def answered(self, call: ShardCall) -> None:
@@ -149,7 +154,7 @@
             for call in missing[:MAX_LOGGED_MISSING]
         )
         extra = max(0, sends - len(self._calls))
-        self._done(Result(response, outcome, sends, extra, named))
+        self._done(Ending(response, outcome, sends, extra, named, slowest(self._calls)))
 
     def _cleanup_delay(self, response: Response) -> float:
         """Return when to close the connections on which nothing useful comes.
--- a/filbertshelf/coordination/instance.py
+++ b/filbertshelf/coordination/instance.py
@@ -7,7 +7,7 @@
 
 import mode
 
-from filbertshelf import events
+from filbertshelf import __version__, events
 from filbertshelf.clock import Clock, SystemClock
 from filbertshelf.coordination.bookings import Bookings
 from filbertshelf.coordination.configuration import Configuration
@@ -24,7 +24,7 @@
 from filbertshelf.protocol.caller import CallerRequest
 from filbertshelf.protocol.notices import Notice, Topic
 from filbertshelf.protocol.platform import CONFIG, INSTANCES, RowKind, RowState
-from filbertshelf.settings import Settings
+from filbertshelf.settings import Settings, digest_of_settings
 from filbertshelf.state.members import Identity
 from filbertshelf.state.outcome import Answer
 from filbertshelf.state.pause import PauseGuard
@@ -124,6 +124,8 @@
             address="{}:{}".format(*self.entry.address),
             peer_address="{}:{}".format(*self.peers.address),
             data_centre=self.cfg.data_centre,
+            version=__version__,
+            settings=digest_of_settings(self.cfg),
         )
 
     def _make_bookings(self) -> Bookings:
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -16,7 +16,7 @@
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.publication import Target
 from filbertshelf.state.replicas import TargetState
-from filbertshelf.state.retry_window import RetryWindow
+from filbertshelf.state.retry_window import RetryPolicy, RetryWindow
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.selection import Candidate, choose_nearest
 from filbertshelf.transport.http1.client import ConnectionPool, End, Exchange
@@ -60,6 +60,9 @@
     def warm_up(self) -> None:
         """Open a connection before it is needed."""
 
+    def check_alive(self, on_dead: Callable[[], None]) -> None:
+        """Call `on_dead` if the address accepts no connection."""
+
     def close(self) -> None:
         """Close the connections once they are idle."""
 
@@ -107,7 +110,8 @@
     ):
         """`call_later` runs a function after some seconds, as the event loop does."""
         self._make_pool = make_pool
-        self._cfg = cfg
+        self._data_centre = cfg.instance.data_centre
+        self._retries = cfg.retries
         self._clock = clock
         self._rng = rng
         self._call_later = call_later
@@ -117,6 +121,12 @@
 
     # What changes the set of targets.
 
+    def set_retries(self, policy: RetryPolicy) -> None:
+        """Take the retry budget of new settings."""
+        self._retries = policy
+        for service in self._services.values():
+            service.budget.set_policy(policy)
+
     def set_fleet(self, size: int) -> None:
         """Divide connections and budgets by the highest number of instances."""
         if size == self._fleet:
@@ -175,7 +185,7 @@
         )
         state = TargetState(target, self._clock, self._rng)
         state.draining = listed.draining
-        local = listed.data_centre == self._cfg.instance.data_centre
+        local = listed.data_centre == self._data_centre
         entry = TargetEntry(listed, pool, Candidate(state, local))
         service.entries[listed.id] = entry
         self._entries[listed.id] = entry
@@ -186,7 +196,7 @@
     def _service(self, name: str) -> ServiceTargets:
         service = self._services.get(name)
         if service is None:
-            budget = RetryWindow(self._cfg.retries)
+            budget = RetryWindow(self._retries)
             service = self._services[name] = ServiceTargets(name, budget)
             self._apply_limits(service)
         return service
@@ -238,7 +248,18 @@
     ) -> None:
         """Record the end of an exchange."""
         started = entry.running.pop(exchange, now)
+        before = entry.state.breaker
         entry.state.finished(verdict.result, verdict.reason, now - started)
+        after = entry.state.breaker
+        if after is not before:
+            events.emit(
+                events.TARGET_BREAKER,
+                target=entry.id,
+                service=entry.listed.service,
+                before=before.value,
+                after=after.value,
+                reason=verdict.reason.value,
+            )
         if verdict.other_target:
             self.remove(entry.id, "another target has its address")
 
--- a/filbertshelf/coordination/routed.py
+++ b/filbertshelf/coordination/routed.py
@@ -10,8 +10,16 @@
 from filbertshelf.clock import Clock
 from filbertshelf.coordination.listed_targets import ListedTargets
 from filbertshelf.protocol.dialect import HeaderNames, Judge
-from filbertshelf.protocol.heads import Field, Response, end_to_end, render_fields
+from filbertshelf.protocol.heads import (
+    Field,
+    Response,
+    end_to_end,
+    find,
+    render_fields,
+)
+from filbertshelf.state.crashes import Crashes
 from filbertshelf.state.hedging import HedgeTimer
+from filbertshelf.state.line_limit import LineLimit, RequestLines
 from filbertshelf.state.routing import Route, RouteTable
 from filbertshelf.transport.http1.server import Request
 
@@ -38,6 +46,10 @@
     targets: ListedTargets
     names: HeaderNames
     judge: Judge
+    crashes: Crashes
+    on_crash: Callable[[str, str, int], None]
+    """Gets a fingerprint, a request id and the number of dead targets in a row."""
+    lines: LineLimit = attrs.field(factory=LineLimit)
     _hedges: dict[str, HedgeTimer] = attrs.field(factory=dict)
 
     def hedge_timer(self, route: Route) -> HedgeTimer:
@@ -60,6 +72,7 @@
     table: RouteTable
     deadline: float
     """When the caller stops waiting, or the route's time is up."""
+    lines: RequestLines
     _prefix: bytes = b""
 
     @classmethod
@@ -70,17 +83,28 @@
         route: Route,
         table: RouteTable,
         deadline: float,
-        names: HeaderNames,
+        tools: Tools,
     ) -> RoutedRequest:
         """Return the request with the part of its head that all targets get."""
-        fields: list[Field] = end_to_end(req.fields, names.set_here())
+        fields: list[Field] = end_to_end(req.fields, tools.names.set_here())
         if req.body or req.method not in (b"GET", b"HEAD", b"DELETE"):
             fields.append((b"Content-Length", b"%d" % len(req.body)))
         first = b"%b %b HTTP/1.1\r\n" % (req.method, req.target)
-        routed = cls(req, request_id, route, table, deadline)
+        lines = RequestLines(tools.lines)
+        routed = cls(req, request_id, route, table, deadline, lines)
         routed._prefix = first + render_fields(fields)
         return routed
 
+    @property
+    def text_id(self) -> str:
+        """Return the id as text for the log."""
+        return self.id.decode("latin-1")
+
+    def fingerprint(self, crashes: Crashes) -> str:
+        """Return what is the same when the request comes again."""
+        host = find(self.req.fields, b"host") or b""
+        return crashes.fingerprint(host, self.req.target, self.req.body)
+
     def head_for(self, target_id: str, names: HeaderNames, now: float) -> bytes:
         """Return the head for one target, with the time that is left at `now`."""
         left_ms = max(1, int((self.deadline - now) * 1000))
@@ -94,7 +118,7 @@
 
 
 @attrs.frozen(eq=False)
-class Result:
+class Ending:
     """The response to a request and what its log line says."""
 
     response: Response
@@ -102,3 +126,5 @@
     sub_requests: int
     extra: int
     missing: tuple[str, ...] = ()
+    slowest: str = ""
+    """The target that answered last, and after how many milliseconds."""
--- /dev/null
+++ b/filbertshelf/coordination/router.py
@@ -0,0 +1,186 @@
+"""Takes callers' requests, finds their routes and starts them."""
+
+from __future__ import annotations
+
+import random
+
+from filbertshelf import events
+from filbertshelf.coordination.feed import Feed
+from filbertshelf.coordination.forward import Forward
+from filbertshelf.coordination.gather import Gather
+from filbertshelf.coordination.routed import Ending, RoutedRequest, Tools
+from filbertshelf.gateway_metrics import GatewayMetrics
+from filbertshelf.protocol.dialect import refusal
+from filbertshelf.protocol.heads import find, find_all
+from filbertshelf.state.routing import Limits, ShareSequence
+from filbertshelf.transport.http1.server import Request
+
+NOT_READY_RETRY_S = 0.3
+"""When to come back to a fleet of which this instance knows no configuration."""
+
+CRASHING_RETRY_S = 60.0
+"""When a request that crashes targets may come back."""
+
+MAX_DEADLINE_S = 600.0
+DEFAULT_LIMITS = Limits()
+
+
+class Router:
+    """What the callers' server asks for answers."""
+
+    def __init__(
+        self, tools: Tools, feed: Feed, metrics: GatewayMetrics, rng: random.Random
+    ):
+        self._tools = tools
+        self._feed = feed
+        self._metrics = metrics
+        self._rng = rng
+        self._shares: dict[str, ShareSequence] = {}
+        self._running: set[Gather | Forward] = set()
+
+    def limits(self) -> Limits:
+        """Return what callers may send now."""
+        table = self._feed.table
+        return DEFAULT_LIMITS if table is None else table.limits
+
+    def rejected(self, status: int, reason: str) -> None:
+        """Take note of a request that the server refused."""
+        self._log_refused(b"", status, reason)
+
+    def resumed(self) -> None:
+        """End what passed its time while the process did not run."""
+        for run in list(self._running):
+            run.resumed()
+
+    def handle(self, req: Request) -> None:
+        """Pass a request on, or refuse it at once."""
+        names = self._tools.names
+        request_id = find(req.fields, names.request_id.lower()) or b""
+        table = self._feed.table
+        if table is None or not self._feed.ready:
+            self._refuse(
+                req, request_id, 503, "no configuration is known", NOT_READY_RETRY_S
+            )
+            return
+        hosts = find_all(req.fields, b"host")
+        wait_s = self._wait_s(req)
+        if len(hosts) != 1 or not request_id or wait_s is None:
+            why = "the host, the request id or the deadline is missing or malformed"
+            self._refuse(req, request_id, 400, why)
+            return
+        path = req.target.partition(b"?")[0].decode("latin-1")
+        route = table.match(hosts[0].decode("latin-1"), path)
+        if route is None:
+            self._refuse(req, request_id, 404, "no route matches")
+            return
+        deadline = req.received_at + min(wait_s, route.timeout_s)
+        job = RoutedRequest.make(req, request_id, route, table, deadline, self._tools)
+        if self._crashes_targets(job):
+            why = "the request crashed the targets that ran it"
+            self._refuse(req, request_id, 503, why, CRASHING_RETRY_S)
+            return
+        self._start(job)
+
+    def _wait_s(self, req: Request) -> float | None:
+        """Return how many seconds the caller waits, None if it is malformed."""
+        value = find(req.fields, self._tools.names.deadline_ms.lower())
+        if value is None:
+            return MAX_DEADLINE_S
+        if not value.isdigit():
+            return None
+        return min(MAX_DEADLINE_S, int(value) / 1000)
+
+    def _crashes_targets(self, job: RoutedRequest) -> bool:
+        crashes = self._tools.crashes
+        return crashes.any_known() and crashes.convicted(job.fingerprint(crashes))
+
+    def _start(self, job: RoutedRequest) -> None:
+        def done(ending: Ending) -> None:
+            self._running.discard(run)
+            self._answer(job, ending)
+
+        if job.route.gather is not None:
+            run: Gather | Forward = Gather(self._tools, job, done)
+        else:
+            service = self._sequence(job).next(job.route.shares).service
+            run = Forward(self._tools, job, service, done)
+
+        def caller_left() -> None:
+            self._running.discard(run)
+            self._log_left(job)
+            run.caller_left()
+
+        self._running.add(run)
+        job.req.on_gone = caller_left
+        run.start()
+
+    def _sequence(self, job: RoutedRequest) -> ShareSequence:
+        sequence = self._shares.get(job.route.name)
+        if sequence is None:
+            sequence = ShareSequence(self._rng.random())
+            self._shares[job.route.name] = sequence
+        return sequence
+
+    def _answer(self, job: RoutedRequest, ending: Ending) -> None:
+        job.req.on_gone = None
+        elapsed = self._tools.clock.monotonic() - job.req.received_at
+        job.req.reply(ending.response)
+        self._count(job, ending, elapsed)
+        events.emit(
+            events.ROUTED_ANSWERED,
+            request_id=job.text_id,
+            route=job.route.name,
+            version=job.table.version,
+            status=ending.response.status,
+            outcome=ending.outcome,
+            elapsed_ms=round(elapsed * 1000, 1),
+            sub_requests=ending.sub_requests,
+            extra=ending.extra,
+            missing=list(ending.missing),
+            slowest=ending.slowest,
+            age_s=round(self._feed.age_s(), 2),
+            left_out=job.lines.left_out,
+        )
+
+    def _count(self, job: RoutedRequest, ending: Ending, elapsed: float) -> None:
+        metrics = self._metrics
+        metrics.requests.labels(job.route.name, ending.outcome).inc()
+        metrics.seconds.labels(job.route.name).observe(elapsed)
+        metrics.sub_requests.inc(ending.sub_requests)
+        metrics.extra.inc(ending.extra)
+        metrics.missing.inc(len(ending.missing))
+        metrics.lines_left_out.inc(job.lines.left_out)
+
+    def _log_left(self, job: RoutedRequest) -> None:
+        self._metrics.callers_left.inc()
+        elapsed = self._tools.clock.monotonic() - job.req.received_at
+        events.emit(
+            events.CALLER_LEFT,
+            request_id=job.text_id,
+            elapsed_ms=round(elapsed * 1000, 1),
+        )
+
+    def _refuse(
+        self,
+        req: Request,
+        request_id: bytes,
+        status: int,
+        why: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        req.reply(refusal(status, retry_after_s))
+        self._log_refused(request_id, status, why)
+
+    def _log_refused(self, request_id: bytes, status: int, why: str) -> None:
+        table = self._feed.table
+        self._metrics.refused.labels(str(status)).inc()
+        if not self._tools.lines.allows(self._tools.clock.monotonic()):
+            self._metrics.lines_left_out.inc()
+            return
+        events.emit(
+            events.ROUTED_REFUSED,
+            request_id=request_id.decode("latin-1"),
+            status=status,
+            reason=why,
+            version=table.version if table else 0,
+        )
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Sequence
 from typing import Protocol
 
 from filbertshelf import events
@@ -52,6 +53,9 @@
         self.may_have_run = False
         self.closed = False
         self.sends = 0
+        self.answered_by = ""
+        self.latency_s = 0.0
+        self._deaths = 0
         self._tools = tools
         self._job = job
         self._listener = listener
@@ -85,9 +89,20 @@
         if not self._repeatable:
             return False
         budget = self._tools.targets.budget(self.service)
-        if budget.left(now) < 1.0 + BUDGET_RESERVE or not self._may_send_more():
-            return False
-        return self._attempt(now, extra=True)
+        left = budget.left(now)
+        allowed = left >= 1.0 + BUDGET_RESERVE and self._may_send_more()
+        sent = allowed and self._attempt(now, extra=True)
+        if self._job.lines.allows(now):
+            events.emit(
+                events.HEDGE_DECIDED,
+                request_id=self._job.text_id,
+                service=self.service,
+                target=entry.id,
+                waited_ms=round((now - exchange.started_at) * 1000, 1),
+                budget_left=round(left, 1),
+                sent=sent,
+            )
+        return sent
 
     def _move(self, exchange: Exchange, entry: TargetEntry, now: float) -> bool:
         """Ask another target instead of one to which no connection is free."""
@@ -165,6 +180,8 @@
         if self.closed:
             return
         if verdict.result is Result.ANSWERED:
+            self.answered_by = entry.id
+            self.latency_s = now - exchange.started_at
             self._accept(exchange, verdict)
         else:
             self._failed(entry, exchange, verdict, now)
@@ -189,15 +206,18 @@
             self.may_have_run = True
         if verdict.stamp:
             self.failure = exchange
-        events.emit(
-            events.ATTEMPT_FAILED,
-            request_id=self._job.id.decode("latin-1"),
-            service=self.service,
-            shard=self.service,
-            target=entry.id,
-            result=verdict.result.value,
-            reason=verdict.reason.value,
-        )
+        if self._job.lines.allows(now):
+            events.emit(
+                events.ATTEMPT_FAILED,
+                request_id=self._job.text_id,
+                service=self.service,
+                shard=self.service,
+                target=entry.id,
+                result=verdict.result.value,
+                reason=verdict.reason.value,
+            )
+        if verdict.reason is Reason.CONNECTION_LOST:
+            entry.pool.check_alive(self._target_died)
         if self._running:
             return
         if not self._retry_now(entry, verdict, now):
@@ -225,7 +245,22 @@
         if not self._attempt(now, extra=True):
             self._close()
 
+    def _target_died(self) -> None:
+        """Report that the request ran on one more target that has died."""
+        self._deaths += 1
+        fingerprint = self._job.fingerprint(self._tools.crashes)
+        self._tools.on_crash(fingerprint, self._job.text_id, self._deaths)
+
     def _close(self) -> None:
         if not self.closed:
             self.stop()
             self._listener.failed(self)
+
+
+def slowest(calls: Sequence[ShardCall]) -> str:
+    """Return which target answered last and after how long, for the log."""
+    answered = [call for call in calls if call.answered_by]
+    if not answered:
+        return ""
+    last = max(answered, key=lambda call: call.latency_s)
+    return f"{last.answered_by} {last.latency_s * 1000:.0f} ms"
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -71,6 +71,8 @@
     "address",
     "peer_address",
     "data_centre",
+    "version",
+    "settings",
 )
 READY = define(
     101, "instance-ready", "The instance has a confirmed configuration.", "reason"
@@ -87,6 +89,20 @@
     level=Level.WARNING,
 )
 
+RELOADED = define(
+    106,
+    "settings-reloaded",
+    "The settings were read again; fields that need a restart are named.",
+    "changed",
+    "need_restart",
+)
+RELOAD_FAILED = define(
+    107,
+    "settings-refused",
+    "The settings can't be read; the previous ones stay.",
+    "reason",
+    level=Level.ERROR,
+)
 LINES_DROPPED = define(
     105,
     "log-lines-dropped",
@@ -198,7 +214,9 @@
     "sub_requests",
     "extra",
     "missing",
+    "slowest",
     "age_s",
+    "left_out",
 )
 ROUTED_REFUSED = define(
     210,
@@ -218,6 +236,18 @@
     "elapsed_ms",
 )
 
+HEDGE_DECIDED = define(
+    212,
+    "hedge-decided",
+    "A target is slow; a second one was asked or not, by the budget that was left.",
+    "request_id",
+    "service",
+    "target",
+    "waited_ms",
+    "budget_left",
+    "sent",
+)
+
 # 3xx: targets and placement.
 TARGET_ADDED = define(
     300, "target-added", "A target joined the publication.", "target", "address"
@@ -241,6 +271,17 @@
     level=Level.WARNING,
 )
 
+TARGET_BREAKER = define(
+    305,
+    "target-breaker-changed",
+    "The circuit breaker of a target changed its state.",
+    "target",
+    "service",
+    "before",
+    "after",
+    "reason",
+)
+
 # 4xx: configuration.
 CONFIG_ACCEPTED = define(
     400,
@@ -582,6 +623,16 @@
     "seconds",
     level=Level.ERROR,
 )
+CRASH_COUNTED = define(
+    802,
+    "request-crash-counted",
+    "A target died while it ran the request; too many in a row refuse the request.",
+    "request_id",
+    "fingerprint",
+    "crashes",
+    "source",
+    level=Level.WARNING,
+)
 TARGET_RESERVED = define(
     801,
     "target-reserved",
--- a/filbertshelf/platform/__main__.py
+++ b/filbertshelf/platform/__main__.py
@@ -6,30 +6,34 @@
 import sys
 from pathlib import Path
 
-from filbertshelf.clock import SystemClock
+from filbertshelf.clock import BootClock, Clock
 from filbertshelf.commands.daemon import run_daemon
 from filbertshelf.coordination.gateway import Gateway
 from filbertshelf.errors import FilbertshelfError
+from filbertshelf.gateway_settings import GatewaySettings
 from filbertshelf.platform.entries import decode_table
 from filbertshelf.platform.names import HEADERS, SETTINGS_VARIABLE
-from filbertshelf.platform.settings import load_gateway_settings
+from filbertshelf.platform.settings import SettingsFile
 from filbertshelf.platform.store import StoreClient
 
 
 def main() -> int:
     """Run until SIGTERM and return the exit code."""
+    settings = SettingsFile(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    clock = BootClock()
+
+    def make() -> Gateway:
+        return Gateway(settings, HEADERS, _store, decode_table, clock)
+
     try:
-        cfg = load_gateway_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+        return run_daemon(make, "", lambda gateway: {}, Gateway.reload)
     except FilbertshelfError as exc:
         print(f"filbertshelf: {exc}", file=sys.stderr)
         return exc.exit_code
-    clock = SystemClock()
 
-    def make() -> Gateway:
-        store = StoreClient(cfg.instance.platform, clock)
-        return Gateway(cfg, HEADERS, store, decode_table, clock)
 
-    return run_daemon(make, "", lambda gateway: {})
+def _store(cfg: GatewaySettings, clock: Clock) -> StoreClient:
+    return StoreClient(cfg.instance.platform, clock)
 
 
 if __name__ == "__main__":
--- a/filbertshelf/platform/names.py
+++ b/filbertshelf/platform/names.py
@@ -17,6 +17,9 @@
 
 SETTINGS_VARIABLE = "FILBERTSHELF_SETTINGS"
 
+METRICS_PORT = 9464
+"""As in deploy/system.toml; the settings name no address for metrics."""
+
 CONFIG_KEY = "op/config"
 TARGET_PREFIX = "servers/"
 EVERYTHING = ""
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -8,6 +8,7 @@
 
 from filbertshelf.errors import Problem, SettingsError
 from filbertshelf.gateway_settings import Address, GatewaySettings
+from filbertshelf.platform.names import METRICS_PORT
 from filbertshelf.settings import Settings
 from filbertshelf.state.retry_window import RetryPolicy
 
@@ -15,6 +16,30 @@
 """The platform hands out no secret; its network lets only its machines connect."""
 
 
+class SettingsFile:
+    """The settings file, which may be written at any time."""
+
+    def __init__(self, path: Path):
+        self._path = path
+        self._written_ns = 0
+
+    def load(self) -> GatewaySettings:
+        """Return the settings; raises `SettingsError` with all problems."""
+        self._written_ns = self._modified_ns()
+        return load_gateway_settings(self._path)
+
+    def changed(self) -> bool:
+        """Return whether the file was written since the last `load`."""
+        return self._modified_ns() != self._written_ns
+
+    def _modified_ns(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError:
+            # A file that is away now, as while it is replaced, has not changed yet.
+            return self._written_ns
+
+
 def load_gateway_settings(path: Path) -> GatewaySettings:
     """Return the settings in the file; raises `SettingsError` with all problems."""
     try:
@@ -43,6 +68,7 @@
         reader.number("bounds", "budgetMinRetries"),
         reader.number("bounds", "budgetWindowS"),
     )
+    host = reader.text("ip")
     grace = reader.number("bounds", "graceS")
     if reader.problems:
         raise SettingsError(reader.problems)
@@ -59,6 +85,7 @@
         instance=instance,
         listen=listen,
         ready_listen=ready,
+        metrics_listen=(host, METRICS_PORT),
         retries=retries,
         stop_grace_s=grace,
     )
--- a/filbertshelf/protocol/notices.py
+++ b/filbertshelf/protocol/notices.py
@@ -15,6 +15,7 @@
     TARGET_DRAINING = "target_draining"
     QUERY_CONVICTED = "query_convicted"
     TARGET_RESERVED = "target_reserved"
+    REQUEST_CRASHED = "request_crashed"
 
 
 @message("notice")
@@ -22,9 +23,10 @@
 class Notice:
     """A fact that every instance should know within a second.
 
-    `subject` is a target or a fingerprint; `seconds` says how long it holds; `origin`
-    is the id of the instance that told it first. The
-    topic is text, so that an instance of another version can pass it on unread.
+    `subject` is a target or a fingerprint, for a crash with the request's id;
+    `seconds` says how long it holds, for a crash how many targets died in a row;
+    `origin` is the id of the instance that told it first. The topic is text, so that
+    an instance of another version can pass it on unread.
     """
 
     id: str
--- a/filbertshelf/settings.py
+++ b/filbertshelf/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import hashlib
 import ipaddress
 from collections.abc import Callable
 from pathlib import Path
@@ -199,6 +200,11 @@
     )
 
 
+def digest_of_settings(cfg: object) -> str:
+    """Return a short digest that tells settings apart in the log."""
+    return hashlib.blake2b(repr(cfg).encode(), digest_size=6).hexdigest()
+
+
 def load_settings(path: Path) -> Settings:
     """Return the settings in the INI file.
 
--- a/filbertshelf/state/retry_window.py
+++ b/filbertshelf/state/retry_window.py
@@ -30,17 +30,24 @@
     size of the fleet, so the sum over all instances stays within the budget.
     """
 
-    __slots__ = ("_extras", "_policy", "_requests", "_slack")
+    __slots__ = ("_extras", "_fleet", "_policy", "_requests", "_slack")
 
     def __init__(self, policy: RetryPolicy):
         self._policy = policy
+        self._fleet = 1
         self._slack = 0.0
         self._requests: collections.deque[float] = collections.deque()
         self._extras: collections.deque[float] = collections.deque()
 
+    def set_policy(self, policy: RetryPolicy) -> None:
+        """Take another budget."""
+        self._policy = policy
+        self.set_fleet(self._fleet)
+
     def set_fleet(self, size: int) -> None:
         """Divide the slack by the highest number of instances that may run."""
-        self._slack = self._policy.slack / max(1, size)
+        self._fleet = max(1, size)
+        self._slack = self._policy.slack / self._fleet
 
     def request(self, now: float) -> None:
         """Count a request; `now` is in monotonic seconds."""
--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -242,6 +242,7 @@
         self._connecting: set[asyncio.Task] = set()
         self._waiting: collections.deque[Exchange] = collections.deque()
         self._closed = False
+        self._on_refused: list[Callable[[], None]] = []
 
     @property
     def size(self) -> int:
@@ -287,6 +288,14 @@
         if not self._closed and not self.size:
             self._connect()
 
+    def check_alive(self, on_dead: Callable[[], None]) -> None:
+        """Open a connection, and call `on_dead` if the address accepts none."""
+        if self._closed:
+            return
+        self._on_refused.append(on_dead)
+        if not self._connecting:
+            self._connect()
+
     def close(self) -> None:
         """Close what is idle, and the others once their exchange has ended."""
         self._closed = True
@@ -346,11 +355,15 @@
             self._connect_failed()
             return
         self.opened += 1
+        self._on_refused.clear()
         self._open.add(conn)
         self.idle(conn, DEFAULT_IDLE_S)
 
     def _connect_failed(self) -> None:
         """End what waits, unless another connection can still serve it."""
+        asking, self._on_refused = self._on_refused, []
+        for on_dead in asking:
+            on_dead()
         if self._open:
             return
         waiting, self._waiting = self._waiting, collections.deque()
--- a/test/coordination/routed_world.py
+++ b/test/coordination/routed_world.py
@@ -13,10 +13,11 @@
 from filbertshelf.coordination.forward import Forward
 from filbertshelf.coordination.gather import Gather
 from filbertshelf.coordination.listed_targets import ListedTargets
-from filbertshelf.coordination.routed import Result, RoutedRequest, Tools
+from filbertshelf.coordination.routed import Ending, RoutedRequest, Tools
 from filbertshelf.gateway_settings import GatewaySettings
 from filbertshelf.protocol.dialect import HeaderNames, Judge
 from filbertshelf.settings import Settings
+from filbertshelf.state.crashes import Crashes
 from filbertshelf.state.directory import ListedTarget, TargetChange
 from filbertshelf.state.retry_window import RetryPolicy
 from filbertshelf.state.routing import (
@@ -99,7 +100,8 @@
     pause_phase_s: float = 0.0
     fault: str = ""
     """"": none, refused: no connection, silent: no answer, shed: says that it did not
-    run, error: its own 500, reset: the connection ends after it ran, moved: another
+    run, error: its own 500, reset: the connection ends after it ran, crash: so too, and
+    the leaf dies, moved: another
     target has its address, full: no connection is free."""
     arrivals: list[float] = attrs.field(factory=list)
     requests: list[bytes] = attrs.field(factory=list)
@@ -131,7 +133,7 @@
             self._answer(exchange, 0.002, 421, [(b"Target", b"other")])
         elif self.fault == "error":
             self._answer(exchange, 0.002, 500, [(b"Stamp", b"s-" + head[b"Id"])])
-        elif self.fault == "reset":
+        elif self.fault in ("reset", "crash"):
             self.world.time.call_later(0.01, lambda: exchange.finish(End.LOST))
         else:
             self._serve(exchange, now, head[b"Id"])
@@ -193,6 +195,11 @@
         """Count a connection."""
         self.opened += 1
 
+    def check_alive(self, on_dead: Callable[[], None]) -> None:
+        """Tell whether the leaf has died."""
+        if self._leaf.fault == "crash":
+            self._leaf.world.time.call_later(0.002, on_dead)
+
     def close(self) -> None:
         """Close nothing."""
         return None
@@ -209,7 +216,7 @@
 
     sent_at: float
     run: Gather | Forward | None = None
-    result: Result | None = None
+    result: Ending | None = None
     ended_at: float = 0.0
 
     @property
@@ -256,8 +263,15 @@
             lambda address, quota, clock: LeafPool(self._ports[address[1]]),
         )
         self.targets.set_fleet(fleet)
+        self.crashes = Crashes(self.time)
         self.tools = Tools(
-            self.time, self.time.call_later, self.targets, NAMES, Judge(NAMES)
+            self.time,
+            self.time.call_later,
+            self.targets,
+            NAMES,
+            Judge(NAMES),
+            self.crashes,
+            self.crashes.died,
         )
 
     def add(self, service: str, data_centre: str = HERE, **options) -> Leaf:
@@ -297,9 +311,9 @@
         )
         deadline = now + min(deadline_s, route.timeout_s)
         table = RouteTable.build(1, [route], [], Limits())
-        job = RoutedRequest.make(req, request_id, route, table, deadline, NAMES)
+        job = RoutedRequest.make(req, request_id, route, table, deadline, self.tools)
 
-        def done(result: Result) -> None:
+        def done(result: Ending) -> None:
             assert call.result is None
             call.result = result
             call.ended_at = self.time.monotonic()
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -21,6 +21,7 @@
         "node": "front-qld-south-a-1",
         "role": "gateway",
         "zone": "qld-south-a",
+        "ip": "10.1.0.9",
         "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
         "listen": {
             "front": "10.1.0.9:8104",
