--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -36,8 +36,8 @@
 MAX_RANK = 3
 """The rank from which on all wait equally long, so that none is blind for long."""
 
-POLL_JITTER_S = 0.1
-"""The random part of a wait, so that instances of one rank don't ask at once."""
+WAIT_CHECK_S = 0.2
+"""How often a waiting instance looks whether it should still wait."""
 
 ASK_TIMEOUT_S = 0.5
 """The wait for a peer's news."""
@@ -149,7 +149,8 @@
         while not self.should_stop:
             wait = self._wait_s()
             if wait > 0:
-                await self._clock.sleep(wait)
+                # In short sleeps, because `refresh` ends the wait.
+                await self._clock.sleep(min(wait, WAIT_CHECK_S))
                 continue
             try:
                 await self._poll()
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -55,9 +55,6 @@
 SETTINGS_CHECK_S = 2.0
 """How often the settings are looked at, as they may change without a signal."""
 
-STOP_SERVE_S = 2.6
-"""How long a stopping instance takes new connections; the platform notices within."""
-
 STOP_MARGIN_S = 0.7
 """The part of the stop's grace that is left for the end of the process."""
 
@@ -136,7 +133,7 @@
             names,
             Judge(names),
             self.crashes,
-            self._crashed,
+            self._request_crashed,
         )
         self.feed = Feed(
             cfg,
@@ -218,7 +215,7 @@
 
     # Requests that crash targets.
 
-    def _crashed(self, fingerprint: str, request_id: str, wave: int) -> None:
+    def _request_crashed(self, fingerprint: str, request_id: str, wave: int) -> None:
         self.metrics.crashes.inc()
         self._count_crash(fingerprint, request_id, wave, self.cfg.instance.name)
         subject = f"{fingerprint} {request_id}"
@@ -306,7 +303,7 @@
         end = self.clock.monotonic() + self.cfg.stop_grace_s - STOP_MARGIN_S
         events.emit(events.STOPPING, in_flight=self.server.in_flight)
         await self.membership.leave()
-        await self.clock.sleep(STOP_SERVE_S)
+        await self.clock.sleep(self.cfg.stop_serve_s)
         self.server.stop_listening()
         while self.server.in_flight and self.clock.monotonic() < end:
             await self.clock.sleep(DRAIN_CHECK_S)
--- a/filbertshelf/gateway_settings.py
+++ b/filbertshelf/gateway_settings.py
@@ -9,6 +9,9 @@
 
 Address = tuple[str, int]
 
+STOP_SERVE_S = 2.6
+"""The platform asks each second and takes two misses for the end of readiness."""
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
@@ -26,3 +29,5 @@
     """The retry budget of each service over the whole fleet."""
     stop_grace_s: float
     """The time between the request to stop and the end of the process."""
+    stop_serve_s: float = STOP_SERVE_S
+    """How long a stopping gateway takes new connections."""
--- /dev/null
+++ b/test/coordination/test_feed.py
@@ -0,0 +1,336 @@
+"""The spread of the platform's content between gateways, in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from filbertshelf.clock import ManualClock
+from filbertshelf.coordination import feed as module
+from filbertshelf.coordination.feed import Feed, FeedListener
+from filbertshelf.errors import (
+    HistoryLostError,
+    PeerUnreachableError,
+    PlatformContentError,
+    PlatformError,
+)
+from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.settings import Settings
+from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
+from filbertshelf.state.members import Member
+from filbertshelf.state.news import ConfigText, News
+from filbertshelf.state.retry_window import RetryPolicy
+from filbertshelf.state.routing import Limits, RouteTable
+
+STEP_S = 0.05
+
+
+class Platform:
+    """Holds a configuration and targets, and may turn instances away."""
+
+    def __init__(self):
+        self.revision = 1
+        self.config = ConfigText(1, b"1")
+        self.targets = {}
+        self.log = []
+        self.calls = 0
+        self.down_for = set()
+        self.forgotten = 0
+
+    def publish(self, version: int) -> None:
+        """Write a configuration."""
+        self.revision += 1
+        self.config = ConfigText(self.revision, b"%d" % version)
+
+    def put(self, id_: str) -> None:
+        """List a target."""
+        self.revision += 1
+        target = ListedTarget(id_, "desk", "10.0.0.1:1", "here", 2, False, 0)
+        self.targets[id_] = TargetChange(id_, self.revision, target)
+        self.log.append(self.targets[id_])
+
+    def remove(self, id_: str) -> None:
+        """Remove a target."""
+        self.revision += 1
+        del self.targets[id_]
+        self.log.append(TargetChange(id_, self.revision, None))
+
+
+class Source:
+    """The platform as one instance reaches it."""
+
+    def __init__(self, platform: Platform, name: str):
+        self._platform = platform
+        self._name = name
+
+    async def snapshot(self) -> News:
+        """Return everything."""
+        self._call()
+        held = self._platform
+        directory = DirectoryChange(0, held.revision, tuple(held.targets.values()))
+        return News(directory, held.config)
+
+    async def changes(self, after: int) -> News:
+        """Return what is newer."""
+        self._call()
+        held = self._platform
+        if after < held.forgotten:
+            raise HistoryLostError("forgotten")
+        found = tuple(c for c in held.log if c.revision > after)
+        config = held.config if held.config.revision > after else None
+        return News(DirectoryChange(after, held.revision, found), config)
+
+    def _call(self) -> None:
+        self._platform.calls += 1
+        if self._name in self._platform.down_for:
+            raise PlatformError("turned away")
+
+
+class Fleet:
+    """Some feeds that reach each other, and the clock that they share."""
+
+    def __init__(self, size: int):
+        self.clock = ManualClock()
+        self.platform = Platform()
+        self.feeds: dict[str, Feed] = {}
+        self.tables: dict[str, list[int]] = {}
+        self.removed: dict[str, list[str]] = {}
+        self.cut: set[str] = set()
+        for number in range(size):
+            self._add(f"n{number}", number)
+
+    def _add(self, name: str, number: int) -> None:
+        peers = Peers(self, name)
+        tables = self.tables[name] = []
+        removed = self.removed[name] = []
+        listener = FeedListener(
+            lambda table: tables.append(table.version),
+            lambda changes: removed.extend(c.id for c in changes if c.target is None),
+        )
+        cfg = GatewaySettings(
+            instance=Settings(
+                name=name,
+                data_centre="here",
+                fleet_key="a key for tests only",
+                platform=("127.0.0.1", 1),
+                peers=(("10.0.0.1", 0),),
+            ),
+            listen=("127.0.0.1", 0),
+            ready_listen=("127.0.0.1", 0),
+            retries=RetryPolicy(0.2, 10.0, 10.0),
+            stop_grace_s=6.0,
+        )
+        self.feeds[name] = Feed(
+            cfg,
+            self.clock,
+            random.Random(number),
+            Source(self.platform, name),
+            decode,
+            peers,
+            peers,
+            listener,
+        )
+
+    def address_of(self, name: str) -> tuple[str, int]:
+        """Return the address of an instance."""
+        return ("10.0.0.1", int(name[1:]))
+
+    async def start(self) -> None:
+        """Start all feeds."""
+        for feed in self.feeds.values():
+            await feed.start()
+
+    async def run(self, seconds: float) -> None:
+        """Move the clock in small steps and let all tasks run in each."""
+        for _ in range(round(seconds / STEP_S)):
+            for _ in range(12):
+                await asyncio.sleep(0)
+            self.clock.advance(STEP_S)
+        for _ in range(12):
+            await asyncio.sleep(0)
+
+    def versions(self) -> set[int]:
+        """Return the versions in force."""
+        return {feed.table.version if feed.table else 0 for feed in self.feeds.values()}
+
+
+class Peers:
+    """The connections and the membership of one instance."""
+
+    def __init__(self, fleet: Fleet, name: str):
+        self.fleet = fleet
+        self.name = name
+        self.id = name
+        self.address = fleet.address_of(name)
+        self.handlers = {}
+
+    def register(self, message_class, handler):
+        """Set a handler."""
+        self.handlers[message_class] = handler
+
+    def members(self):
+        """Return all instances."""
+        return [
+            Member(name, "here", self.fleet.address_of(name), 1)
+            for name in self.fleet.feeds
+        ]
+
+    def size_seen(self) -> int:
+        """Return the size of the fleet."""
+        return len(self.fleet.feeds)
+
+    def random_peers(self, count):
+        """Return other instances."""
+        return [m for m in self.members() if m.id != self.name][:count]
+
+    async def request(self, address, msg, timeout):
+        """Return the reply."""
+        return await self._deliver(address, msg)
+
+    async def notify(self, address, msg):
+        """Deliver a message."""
+        await self._deliver(address, msg)
+
+    async def _deliver(self, address, msg):
+        name = f"n{address[1]}"
+        if name == self.name or {name, self.name} & self.fleet.cut:
+            raise PeerUnreachableError(name)
+        other = self.fleet.feeds[name]._peers
+        return await other.handlers[type(msg)](self, msg)
+
+
+def decode(text: bytes) -> RouteTable:
+    """Return an empty table with the version in the text."""
+    if not text.isdigit():
+        raise PlatformContentError("no number")
+    return RouteTable.build(int(text), [], [], Limits())
+
+
+@pytest.fixture
+async def fleet():
+    """Return a fleet of six that has started and knows everything."""
+    found = Fleet(6)
+    found.platform.put("t1")
+    await found.start()
+    await found.run(2.0)
+    yield found
+    for feed in found.feeds.values():
+        await feed.stop()
+
+
+async def test_one_instance_asks_for_all(fleet):
+    # Guards against a number of platform calls that grows with the fleet.
+    before = fleet.platform.calls
+    await fleet.run(10.0)
+    assert 10 <= fleet.platform.calls - before <= 16
+
+
+async def test_a_change_is_in_force_everywhere_within_two_seconds(fleet):
+    fleet.platform.publish(7)
+    fleet.platform.put("t2")
+    fleet.platform.remove("t1")
+    await fleet.run(2.0)
+    assert fleet.versions() == {7}
+    for feed in fleet.feeds.values():
+        assert set(feed.directory.targets()) == {"t2"}
+
+
+@pytest.mark.parametrize("away", [{"n0"}, {"n0", "n1", "n2", "n3"}])
+async def test_who_is_turned_away_learns_from_peers(fleet, away):
+    # Guards against instances that serve an old configuration while others have it.
+    fleet.platform.down_for = away
+    fleet.platform.publish(8)
+    await fleet.run(3.0)
+    assert fleet.versions() == {8}
+    assert max(feed.age_s() for feed in fleet.feeds.values()) < 2.5
+
+
+async def test_who_is_cut_off_asks_the_platform_itself(fleet):
+    fleet.cut = {"n4"}
+    fleet.platform.publish(9)
+    await fleet.run(3.0)
+    assert fleet.versions() == {9}
+
+
+async def test_an_older_version_never_comes_back(fleet):
+    fleet.platform.publish(9)
+    await fleet.run(2.0)
+    fleet.platform.publish(3)
+    await fleet.run(2.0)
+    assert all(versions == [1, 9] for versions in fleet.tables.values())
+
+
+async def test_a_malformed_configuration_leaves_the_last_one(fleet, log):
+    fleet.platform.revision += 1
+    fleet.platform.config = ConfigText(fleet.platform.revision, b"nonsense")
+    await fleet.run(2.0)
+    assert fleet.versions() == {1}
+    assert any(line["event"] == 401 for line in log)
+
+
+async def test_a_forgotten_history_is_read_whole(fleet):
+    # Guards against a target that was removed in the gap and stays.
+    fleet.cut = set(fleet.feeds)
+    fleet.platform.down_for = set(fleet.feeds)
+    await fleet.run(1.0)
+    fleet.platform.put("t2")
+    fleet.platform.remove("t1")
+    fleet.platform.forgotten = fleet.platform.revision
+    fleet.platform.down_for = set()
+    fleet.cut = set()
+    await fleet.run(6.0)
+    for feed in fleet.feeds.values():
+        assert set(feed.directory.targets()) == {"t2"}
+
+
+async def test_a_target_that_lapsed_during_an_outage_is_kept_for_its_return(fleet):
+    # Guards against giving up living targets whose leases ran out with the store.
+    fleet.platform.down_for = set(fleet.feeds)
+    await fleet.run(4.0)
+    fleet.platform.remove("t1")
+    fleet.platform.down_for = set()
+    await fleet.run(1.5)
+    fleet.platform.put("t1")
+    await fleet.run(4.0)
+    assert all(removed == [] for removed in fleet.removed.values())
+
+
+async def test_a_target_that_does_not_return_is_gone(fleet):
+    fleet.platform.down_for = set(fleet.feeds)
+    await fleet.run(4.0)
+    fleet.platform.remove("t1")
+    fleet.platform.down_for = set()
+    await fleet.run(1.0 + module.REMOVAL_HOLD_S + 2.0)
+    assert all(removed == ["t1"] for removed in fleet.removed.values())
+
+
+async def test_a_target_removed_in_calm_times_is_gone_at_once(fleet):
+    # Guards against work for a target that has left without a word.
+    fleet.platform.remove("t1")
+    await fleet.run(1.5)
+    assert all(removed == ["t1"] for removed in fleet.removed.values())
+
+
+async def test_a_start_without_the_platform_learns_from_seeds():
+    found = Fleet(3)
+    found.platform.put("t1")
+    found.platform.down_for = {"n1", "n2"}
+    await found.start()
+    await found.run(3.0)
+    assert found.versions() == {1}
+    for feed in found.feeds.values():
+        await feed.stop()
+
+
+async def test_an_empty_platform_is_not_asked_in_a_loop():
+    # Guards against a loop of calls while there is no configuration yet.
+    found = Fleet(1)
+    found.platform.config = ConfigText(1, b"nonsense")
+    await found.start()
+    await found.run(5.0)
+    assert found.platform.calls <= 12
+    assert not found.feeds["n0"].ready
+    for feed in found.feeds.values():
+        await feed.stop()
--- /dev/null
+++ b/test/state/test_crashes.py
@@ -0,0 +1,71 @@
+"""Requests that crash each target, told from targets that die by themselves."""
+
+from __future__ import annotations
+
+from filbertshelf.clock import ManualClock
+from filbertshelf.state import crashes as module
+from filbertshelf.state.crashes import MEMORY_S, Crashes
+
+
+def test_a_rack_that_dies_convicts_nobody():
+    # Guards against refusing the queries that were in flight on many targets at once.
+    found = Crashes(ManualClock())
+    for _ in range(30):
+        found.died("query", "r1", 1)
+    found.died("query", "r2", 1)
+    assert not found.convicted("query")
+
+
+def test_three_targets_in_a_row_convict():
+    # Guards against a request that comes again and again, at any instance.
+    found = Crashes(ManualClock())
+    found.died("poison", "r1", 1)
+    found.died("poison", "r1", 2)
+    assert not found.convicted("poison")
+    found.died("poison", "r2", 1)
+    assert found.convicted("poison")
+    assert not found.convicted("other")
+
+
+def test_a_report_that_comes_twice_counts_once():
+    found = Crashes(ManualClock())
+    for _ in range(5):
+        found.died("query", "r1", 2)
+    assert not found.convicted("query")
+
+
+def test_a_conviction_ends():
+    clock = ManualClock()
+    found = Crashes(clock)
+    for name in ("r1", "r2", "r3"):
+        found.died("poison", name, 1)
+    clock.advance(MEMORY_S - 1)
+    assert found.convicted("poison")
+    clock.advance(2)
+    assert not found.convicted("poison")
+
+
+def test_an_answer_clears():
+    found = Crashes(ManualClock())
+    found.died("query", "r1", 2)
+    found.answered("query")
+    found.died("query", "r2", 1)
+    assert not found.convicted("query")
+
+
+def test_the_memory_is_bounded(monkeypatch):
+    monkeypatch.setattr(module, "MAX_FINGERPRINTS", 3)
+    found = Crashes(ManualClock())
+    for number in range(10):
+        found.died(f"query-{number}", "r", 1)
+    assert len(found._records) == 3
+
+
+def test_the_parts_of_a_request_are_told_apart():
+    found = Crashes(ManualClock())
+    prints = {
+        found.fingerprint(b"h", b"/a", b"b"),
+        found.fingerprint(b"h", b"/ab", b""),
+        found.fingerprint(b"h/", b"a", b"b"),
+    }
+    assert len(prints) == 3
--- /dev/null
+++ b/test/transport/test_log_pipe.py
@@ -0,0 +1,75 @@
+"""Log lines to a reader that may be slow or gone."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+
+import pytest
+
+from filbertshelf import events
+from filbertshelf.transport import log_pipe as module
+from filbertshelf.transport.log_pipe import LogPipe
+
+F_SETPIPE_SZ = 1031
+
+
+@pytest.fixture
+def pipe():
+    """Return the two ends of a small pipe."""
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, F_SETPIPE_SZ, 4_096)
+    yield reading, writing
+    for end in (reading, writing):
+        try:
+            os.close(end)
+        except OSError:
+            continue
+
+
+def lines_of(data: bytes) -> list[dict]:
+    """Return the messages in the bytes."""
+    return [json.loads(line) for line in data.splitlines()]
+
+
+async def test_a_full_pipe_stops_nobody_and_drops_are_counted(pipe, monkeypatch):
+    # Guards against a daemon that stands still because nobody reads its log.
+    monkeypatch.setattr(module, "MAX_BUFFERED_BYTES", 20_000)
+    reading, writing = pipe
+    dropped = []
+    log = LogPipe(writing, dropped.append)
+    await log.start()
+    for number in range(2_000):
+        events.emit(events.TARGET_ADDED, target=f"t{number}", address="x" * 50)
+    log.flush()
+    assert 0 < log.dropped < 2_000
+    got = b""
+    os.set_blocking(reading, False)
+    while not dropped:
+        got += os.read(reading, 65_536)
+        log.flush()
+    kept = lines_of(got + os.read(reading, 65_536))
+    assert len(kept) + dropped[0] == 2_000
+    assert [line["target"] for line in kept] == [f"t{n}" for n in range(len(kept))]
+    await log.stop()
+
+
+async def test_a_reader_that_has_gone_ends_nothing(pipe):
+    reading, writing = pipe
+    log = LogPipe(writing, lambda count: None)
+    await log.start()
+    os.close(reading)
+    events.emit(events.TARGET_ADDED, target="t", address="a")
+    log.flush()
+    assert log.dropped >= 0
+    await log.stop()
+
+
+async def test_what_is_buffered_is_written_at_the_stop(pipe):
+    reading, writing = pipe
+    log = LogPipe(writing, lambda count: None)
+    await log.start()
+    events.emit(events.TARGET_ADDED, target="last", address="a")
+    await log.stop()
+    assert lines_of(os.read(reading, 65_536))[-1]["target"] == "last"
