Ask no more targets than a route allows after refusals

The retry now chooses among those that were asked. The test with three refusing targets failed before. explain reads logs with a prefix.

--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -223,9 +223,16 @@
         return found is not None and bool(found.entries)
 
     def choose(
-        self, service: str, exclude: Collection[str], now: float
+        self,
+        service: str,
+        exclude: Collection[str],
+        now: float,
+        only: Collection[str] | None = None,
     ) -> TargetEntry | None:
-        """Return the target for a sub-request, or None if none can take it."""
+        """Return the target for a sub-request, or None if none can take it.
+
+        With `only`, one of these is chosen.
+        """
         found = self._services.get(service)
         if found is None:
             return None
@@ -233,7 +240,11 @@
             candidate = entry.candidate
             candidate.has_room = entry.pool.has_room()
             candidate.oldest_start = next(iter(entry.running.values()), None)
-        candidates = [entry.candidate for entry in found.entries.values()]
+        candidates = [
+            entry.candidate
+            for id_, entry in found.entries.items()
+            if only is None or id_ in only
+        ]
         chosen = choose_nearest(candidates, exclude, now, self._rng)
         return None if chosen is None else found.entries[chosen.state.name]
 
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -133,13 +133,18 @@
     # Sending.
 
     def _may_send_more(self) -> bool:
+        return self.sends < MAX_SENDS and self._may_ask_another()
+
+    def _may_ask_another(self) -> bool:
+        """Return whether the route allows one more target."""
         asked = len(self._sent_to) + len(self._running)
-        return self.sends < MAX_SENDS and asked < self._job.route.max_attempts
+        return asked < self._job.route.max_attempts
 
     def _attempt(self, now: float, extra: bool = False) -> bool:
         """Send to the best target that was not tried; return False without one."""
         targets = self._tools.targets
-        entry = targets.choose(self.service, self._tried, now)
+        only = None if self._may_ask_another() else self._sent_to
+        entry = targets.choose(self.service, self._tried, now, only)
         if entry is None or self._job.deadline - now < MIN_LEFT_S:
             return False
         if extra and not targets.budget(self.service).try_spend(now):
--- a/filbertshelf/explain.py
+++ b/filbertshelf/explain.py
@@ -38,13 +38,15 @@
     for line in lines:
         if request_id not in line:
             continue
+        # A collector may put the time and the machine before the line.
+        prefix, brace, rest = line.partition("{")
         try:
-            message = json.loads(line)
+            message = json.loads(brace + rest)
         except ValueError:
             continue  # The last line may be cut when the process was killed.
         found = str(message.get("request_id", ""))
         if found == request_id or found.startswith(f"{request_id}."):
-            yield message
+            yield {"machine": prefix.split()[-1], **message} if prefix else message
 
 
 def describe(message: dict[str, Any]) -> str:
--- a/test/coordination/test_forward.py
+++ b/test/coordination/test_forward.py
@@ -107,3 +107,13 @@
     assert int(head.split(b"Left-Ms: ")[1].split(b"\r\n")[0]) == 1_900
     world.time.run_until(1.0)
     assert [call.status for call in calls] == [200, 200]
+
+
+def test_no_more_targets_than_the_route_allows_get_a_request():
+    # Guards against a third target after two of three have refused: found on the
+    # grown deployment with three targets in each shard.
+    world = world_with("shed", "shed", "shed")
+    call = ask(world, SAFE)
+    assert call.status == 503
+    asked = [leaf.id for leaf in world.leafs.values() if leaf.arrivals]
+    assert len(asked) <= SAFE.max_attempts
