Let the fastest instances run the queries of a large fleet

Instances now pass a query over many shards on to the two or more fastest of their data centre, over the connections between instances; who gets no reply in 60 ms runs the query itself. On small fleets of equal machines nothing changes. The members of a mass start are known sooner, because the periods between whole tables double.

--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -13,13 +13,14 @@
 
 from filbertshelf import __version__, events
 from filbertshelf.clock import Clock, SystemClock
+from filbertshelf.coordination.delegation import Delegation
 from filbertshelf.coordination.feed import (
     Decoder,
     Feed,
     FeedListener,
     PlatformSource,
 )
-from filbertshelf.coordination.listed_targets import UNKNOWN_FLEET, ListedTargets
+from filbertshelf.coordination.listed_targets import ListedTargets
 from filbertshelf.coordination.membership import Membership
 from filbertshelf.coordination.notices import Notices
 from filbertshelf.coordination.routed import Timer, Tools
@@ -32,6 +33,7 @@
 from filbertshelf.protocol.notices import Notice, Topic
 from filbertshelf.settings import digest_of_settings
 from filbertshelf.state.crashes import Crashes
+from filbertshelf.state.delegation import Delegates
 from filbertshelf.state.members import Identity
 from filbertshelf.state.pause import PauseGuard
 from filbertshelf.state.routing import Limits
@@ -45,7 +47,7 @@
 """The part by which more instances may run than were ever seen."""
 
 FLEET_KNOWN_S = 3.0
-"""The time after the start in which the members are found."""
+"""The members are known once no new one was found for so long."""
 
 PAUSE_S = 1.0
 """A process that did not run for so long takes what it knows for old."""
@@ -145,7 +147,12 @@
             self.membership,
             FeedListener(self.targets.apply_table, self.targets.apply),
         )
-        self.router = Router(self.tools, self.feed, self.metrics, self._rng)
+        self.delegation = Delegation(self.tools, self.peers, self._rng)
+        self.delegation.own_cost_us = cfg.shard_cost_us
+        self.membership.table.set_shard_cost(cfg.shard_cost_us)
+        self.router = Router(
+            self.tools, self.feed, self.delegation, self.metrics, self._rng
+        )
         self.log_pipe = LogPipe(STDOUT, self._lines_dropped)
         self.server = HttpServer(cfg.listen, self.router, self.clock)
         self.ready_server = HttpServer(
@@ -154,7 +161,7 @@
         self._guard = PauseGuard(self.clock, PAUSE_S)
         self._stopping = False
         self._most_members = 1
-        self._started_at = self.clock.monotonic()
+        self._grown_at = self.clock.monotonic()
         self._was_ready = False
         self.notices.subscribe(Topic.REQUEST_CRASHED, self._on_crash_notice)
         self._add_gauges()
@@ -189,6 +196,7 @@
             self.peers,
             self.membership,
             self.notices,
+            self.delegation,
             self.feed,
             self.ready_server,
             self.server,
@@ -248,12 +256,34 @@
         """Keep the shares of limits in line with the size of the fleet."""
         while not self.should_stop:
             await self.clock.sleep(1.0)
-            self._most_members = max(self._most_members, self.membership.size_seen())
-            known = self.clock.monotonic() - self._started_at >= FLEET_KNOWN_S
-            size = math.ceil(FLEET_GROWTH * self._most_members)
-            self.targets.set_fleet(size if known else UNKNOWN_FLEET)
+            now = self.clock.monotonic()
+            members = self.membership.size_seen()
+            if members > self._most_members:
+                self._most_members = members
+                self._grown_at = now
+            if now - self._grown_at >= FLEET_KNOWN_S:
+                self._apply_fleet(math.ceil(FLEET_GROWTH * self._most_members))
             self._note_ready()
 
+    def _apply_fleet(self, size: int) -> None:
+        """Choose who runs queries over many shards, and divide the limits."""
+        table = self.feed.table
+        mesh = table is None or self.targets.mesh_fits(table, size)
+        delegates = Delegates.choose(self.membership.members(), self.membership.own)
+        held = self.delegation.delegates
+        if (delegates, mesh) != (held, self.delegation.mesh):
+            events.emit(
+                events.DELEGATES_CHANGED,
+                local=[member.id for member in delegates.local],
+                total=delegates.total,
+                own=delegates.own,
+                mesh=mesh,
+            )
+        self.delegation.delegates = delegates
+        self.delegation.mesh = mesh
+        holders = size if mesh else delegates.holders()
+        self.targets.set_fleet(size, holders, mesh or delegates.own)
+
     def _note_ready(self) -> None:
         ready = self.ready()
         if ready and not self._was_ready:
@@ -299,6 +329,7 @@
     async def on_stop(self) -> None:
         """Be not ready at once, serve on, then finish what is in flight."""
         self._stopping = True
+        self.router.stopping = True
         self.server.stopping = True
         end = self.clock.monotonic() + self.cfg.stop_grace_s - STOP_MARGIN_S
         events.emit(events.STOPPING, in_flight=self.server.in_flight)
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -94,6 +94,8 @@
     name: str
     budget: RetryWindow
     connections: int = DEFAULT_CONNECTIONS
+    is_shard: bool = False
+    """Whether queries over many shards use it."""
     entries: dict[str, TargetEntry] = attrs.field(factory=dict)
 
 
@@ -118,6 +120,8 @@
         self._services: dict[str, ServiceTargets] = {}
         self._entries: dict[str, TargetEntry] = {}
         self._fleet = UNKNOWN_FLEET
+        self._holders = UNKNOWN_FLEET
+        self._holds = False
 
     # What changes the set of targets.
 
@@ -127,19 +131,34 @@
         for service in self._services.values():
             service.budget.set_policy(policy)
 
-    def set_fleet(self, size: int) -> None:
-        """Divide connections and budgets by the highest number of instances."""
-        if size == self._fleet:
+    def set_fleet(self, size: int, holders: int, holds: bool) -> None:
+        """Divide connections and budgets by the highest number of instances.
+
+        Those of shards are divided by `holders`, the instances that run queries over
+        many shards; `holds` says whether this instance is one.
+        """
+        if (size, holders, holds) == (self._fleet, self._holders, self._holds):
             return
-        self._fleet = size
+        self._fleet, self._holders, self._holds = size, holders, holds
         for service in self._services.values():
             self._apply_limits(service)
+            if self._keeps_warm(service):
+                for entry in service.entries.values():
+                    self._warm_up(entry)
+
+    def mesh_fits(self, table: RouteTable, size: int) -> bool:
+        """Return whether each instance may connect to all targets of all shards."""
+        shards = _shards(table)
+        caps = [s.connections for s in table.services.values() if s.name in shards]
+        return not caps or CONNECTION_SHARE * min(caps) >= size
 
     def apply_table(self, table: RouteTable) -> None:
         """Take the connection limits of a new version of the configuration."""
+        shards = _shards(table)
         for named in table.services.values():
             service = self._service(named.name)
             service.connections = named.connections
+            service.is_shard = named.name in shards
             self._apply_limits(service)
 
     def apply(self, changes: Iterable[TargetChange]) -> None:
@@ -191,7 +210,8 @@
         self._entries[listed.id] = entry
         self._apply_limits(service)
         events.emit(events.TARGET_ADDED, target=listed.id, address=listed.address)
-        self._call_later(self._rng.random() * WARM_UP_SPREAD_S, pool.warm_up)
+        if self._keeps_warm(service):
+            self._warm_up(entry)
 
     def _service(self, name: str) -> ServiceTargets:
         service = self._services.get(name)
@@ -201,11 +221,23 @@
             self._apply_limits(service)
         return service
 
+    def _keeps_warm(self, service: ServiceTargets) -> bool:
+        """Return whether connections are opened before they are needed."""
+        return self._holds or not service.is_shard
+
+    def _warm_up(self, entry: TargetEntry) -> None:
+        delay = self._rng.random() * WARM_UP_SPREAD_S
+        self._call_later(delay, entry.pool.warm_up)
+
     def _apply_limits(self, service: ServiceTargets) -> None:
-        quota = max(1, int(CONNECTION_SHARE * service.connections / self._fleet))
+        users = self._holders if service.is_shard else self._fleet
+        quota = max(1, int(CONNECTION_SHARE * service.connections / users))
         for entry in service.entries.values():
             entry.pool.quota = quota
-        service.budget.set_fleet(self._fleet)
+        if service.is_shard and not self._holds:
+            # The holders share the whole slack.
+            users = UNKNOWN_FLEET * self._holders
+        service.budget.set_fleet(users)
 
     # What requests use.
 
@@ -303,6 +335,12 @@
     return Verdict(*_REASONS[end])
 
 
+def _shards(table: RouteTable) -> set[str]:
+    """Return the services that queries over many shards use."""
+    routes = [route for route in table.routes() if route.gather is not None]
+    return {name for route in routes for name in route.gather.shards}
+
+
 def _is_same_process(one: ListedTarget, two: ListedTarget) -> bool:
     return (one.address, one.service, one.started_ms) == (
         two.address,
--- a/filbertshelf/coordination/membership.py
+++ b/filbertshelf/coordination/membership.py
@@ -45,9 +45,9 @@
 # Every this many periods one dead or listed address is probed in addition, which
 # joins the two sides again after a partition.
 REVIVAL_PERIODS = 5
-# An instance that sees far fewer members than another asks for the whole table at most
-# once in this many periods. In a mass start of 120 instances without this, the rows of
-# the probes had not reached every instance after 27 periods.
+# An instance that sees far fewer members than another asks for the whole table. The
+# periods between two such requests double up to this many: in a mass start the first
+# tables are short, and later ones are rarely needed.
 PULL_PERIODS = 10
 
 Payload = dict[str, Any]
@@ -96,6 +96,7 @@
         self._joined = False
         self._fuller: Address | None = None
         self._next_pull = 0
+        self._pull_gap = 1
         self._handlers = {
             Probe: self._on_probe,
             ProbeFor: self._on_probe_for,
@@ -229,7 +230,8 @@
             # The others spread these rows already.
             self._merge(reply.rows, spread=False)
             self._joined = True
-            self._next_pull = self._period + PULL_PERIODS
+            self._next_pull = self._period + self._pull_gap
+            self._pull_gap = min(PULL_PERIODS, 2 * self._pull_gap)
 
     async def _probe_member(self, target: Member) -> bool:
         """Tell whether the member answered, directly or through a helper."""
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
 
 from filbertshelf import events
+from filbertshelf.coordination.delegation import DelegatedGather, Delegation
 from filbertshelf.coordination.feed import Feed
 from filbertshelf.coordination.forward import Forward
 from filbertshelf.coordination.gather import Gather
@@ -12,7 +17,7 @@
 from filbertshelf.gateway_metrics import GatewayMetrics
 from filbertshelf.protocol.dialect import refusal
 from filbertshelf.protocol.heads import find, find_all
-from filbertshelf.state.routing import Limits, ShareSequence
+from filbertshelf.state.routing import Limits, RouteTable, ShareSequence
 from filbertshelf.transport.http1.server import Request
 
 NOT_READY_RETRY_S = 0.3
@@ -25,18 +30,47 @@
 DEFAULT_LIMITS = Limits()
 
 
+class Run(Protocol):
+    """What carries a request to its end."""
+
+    def start(self) -> None:
+        """Begin."""
+
+    def caller_left(self) -> None:
+        """End what nobody waits for."""
+
+    def resumed(self) -> None:
+        """End the request if its time passed while the process did not run."""
+
+
+@attrs.frozen
+class _Refusal:
+    """Why a request can't be served; it did not run."""
+
+    status: int
+    reason: str
+
+
 class Router:
     """What the callers' server asks for answers."""
 
     def __init__(
-        self, tools: Tools, feed: Feed, metrics: GatewayMetrics, rng: random.Random
+        self,
+        tools: Tools,
+        feed: Feed,
+        delegation: Delegation,
+        metrics: GatewayMetrics,
+        rng: random.Random,
     ):
         self._tools = tools
+        self._delegation = delegation
+        delegation.serve = self.serve_delegated
         self._feed = feed
         self._metrics = metrics
         self._rng = rng
         self._shares: dict[str, ShareSequence] = {}
-        self._running: set[Gather | Forward] = set()
+        self._running: dict[RoutedRequest, Run] = {}
+        self.stopping = False
 
     def limits(self) -> Limits:
         """Return what callers may send now."""
@@ -49,7 +83,7 @@
 
     def resumed(self) -> None:
         """End what passed its time while the process did not run."""
-        for run in list(self._running):
+        for run in list(self._running.values()):
             run.resumed()
 
     def handle(self, req: Request) -> None:
@@ -62,24 +96,29 @@
                 req, request_id, 503, "no configuration is known", NOT_READY_RETRY_S
             )
             return
+        job = self._job(req, request_id, table)
+        if isinstance(job, _Refusal):
+            self._refuse(req, request_id, job.status, job.reason)
+        elif self._crashes_targets(job):
+            why = "the request crashed the targets that ran it"
+            self._refuse(req, request_id, 503, why, CRASHING_RETRY_S)
+        else:
+            self._start(job, self._run_for(job))
+
+    def _job(
+        self, req: Request, request_id: bytes, table: RouteTable
+    ) -> RoutedRequest | _Refusal:
+        """Return the request with its route, or why it can't be served."""
         hosts = find_all(req.fields, b"host")
         wait_s = self._wait_s(req)
         if len(hosts) != 1 or not request_id or wait_s is None:
-            why = "the host, the request id or the deadline is missing or malformed"
-            self._refuse(req, request_id, 400, why)
-            return
+            return _Refusal(400, "the host, the id or the deadline is malformed")
         path = req.target.partition(b"?")[0].decode("latin-1")
         route = table.match(hosts[0].decode("latin-1"), path)
         if route is None:
-            self._refuse(req, request_id, 404, "no route matches")
-            return
+            return _Refusal(404, "no route matches")
         deadline = req.received_at + min(wait_s, route.timeout_s)
-        job = RoutedRequest.make(req, request_id, route, table, deadline, self._tools)
-        if self._crashes_targets(job):
-            why = "the request crashed the targets that ran it"
-            self._refuse(req, request_id, 503, why, CRASHING_RETRY_S)
-            return
-        self._start(job)
+        return RoutedRequest.make(req, request_id, route, table, deadline, self._tools)
 
     def _wait_s(self, req: Request) -> float | None:
         """Return how many seconds the caller waits, None if it is malformed."""
@@ -94,23 +133,62 @@
         crashes = self._tools.crashes
         return crashes.any_known() and crashes.convicted(job.fingerprint(crashes))
 
-    def _start(self, job: RoutedRequest) -> None:
-        def done(ending: Ending) -> None:
-            self._running.discard(run)
-            self._answer(job, ending)
+    def serve_delegated(
+        self, req: Request, version: int, done: Callable[[Ending], None]
+    ) -> str:
+        """Run a query for another instance; return why not, or an empty text."""
+        table = self._feed.table
+        if table is None or table.version < version:
+            return "the configuration is older than the query's"
+        if self.stopping:
+            return "the instance is stopping"
+        request_id = find(req.fields, self._tools.names.request_id.lower()) or b""
+        job = self._job(req, request_id, table)
+        if isinstance(job, _Refusal) or job.route.gather is None:
+            return "the configuration has no such query"
 
-        if job.route.gather is not None:
-            run: Gather | Forward = Gather(self._tools, job, done)
-        else:
+        def log_and_tell(ending: Ending) -> None:
+            self._log_ending(job, ending)
+            done(ending)
+
+        self._start(job, Gather(self._tools, job, self._ended(job, log_and_tell)))
+        return ""
+
+    def _ended(
+        self, job: RoutedRequest, done: Callable[[Ending], None]
+    ) -> Callable[[Ending], None]:
+        """Return what to call at the end of a run; it forgets the run first."""
+
+        def ended(ending: Ending) -> None:
+            self._running.pop(job, None)
+            job.req.on_gone = None
+            done(ending)
+
+        return ended
+
+    def _run_for(self, job: RoutedRequest) -> Run:
+        """Return what runs a caller's request."""
+
+        def answer(ending: Ending) -> None:
+            job.req.reply(ending.response)
+            self._log_ending(job, ending)
+
+        done = self._ended(job, answer)
+        if job.route.gather is None:
             service = self._sequence(job).next(job.route.shares).service
-            run = Forward(self._tools, job, service, done)
+            return Forward(self._tools, job, service, done)
+        member = self._delegation.choose(job)
+        if member is not None:
+            return DelegatedGather(self._tools, job, done, self._delegation, member)
+        return Gather(self._tools, job, done)
 
+    def _start(self, job: RoutedRequest, run: Run) -> None:
         def caller_left() -> None:
-            self._running.discard(run)
+            self._running.pop(job, None)
             self._log_left(job)
             run.caller_left()
 
-        self._running.add(run)
+        self._running[job] = run
         job.req.on_gone = caller_left
         run.start()
 
@@ -121,10 +199,8 @@
             self._shares[job.route.name] = sequence
         return sequence
 
-    def _answer(self, job: RoutedRequest, ending: Ending) -> None:
-        job.req.on_gone = None
+    def _log_ending(self, job: RoutedRequest, ending: Ending) -> None:
         elapsed = self._tools.clock.monotonic() - job.req.received_at
-        job.req.reply(ending.response)
         self._count(job, ending, elapsed)
         events.emit(
             events.ROUTED_ANSWERED,
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -236,6 +236,24 @@
     "elapsed_ms",
 )
 
+QUERY_DELEGATED = define(
+    213,
+    "query-delegated",
+    "Another instance runs the query, or was asked and doesn't take it.",
+    "request_id",
+    "member",
+    "taken",
+    "reason",
+)
+DELEGATES_CHANGED = define(
+    214,
+    "delegates-changed",
+    "Other instances are to run the queries over many shards.",
+    "local",
+    "total",
+    "own",
+    "mesh",
+)
 HEDGE_DECIDED = define(
     212,
     "hedge-decided",
--- a/filbertshelf/gateway_settings.py
+++ b/filbertshelf/gateway_settings.py
@@ -27,6 +27,8 @@
     """Where counters and histograms are served as text."""
     retries: RetryPolicy
     """The retry budget of each service over the whole fleet."""
+    shard_cost_us: int = 0
+    """How many microseconds this machine takes for one shard of a query, 0 unknown."""
     stop_grace_s: float
     """The time between the request to stop and the end of the process."""
     stop_serve_s: float = STOP_SERVE_S
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -10,6 +10,7 @@
 from filbertshelf.gateway_settings import Address, GatewaySettings
 from filbertshelf.platform.names import METRICS_PORT
 from filbertshelf.settings import Settings
+from filbertshelf.state.delegation import shard_cost_us
 from filbertshelf.state.retry_window import RetryPolicy
 
 FLEET_KEY = "filbertshelf-on-a-private-network"
@@ -68,6 +69,8 @@
         reader.number("bounds", "budgetMinRetries"),
         reader.number("bounds", "budgetWindowS"),
     )
+    cores = reader.number("limits", "cpuShare") * reader.number("limits", "cores")
+    link_mbps = reader.number("limits", "linkMbps")
     host = reader.text("ip")
     grace = reader.number("bounds", "graceS")
     if reader.problems:
@@ -87,6 +90,7 @@
         ready_listen=ready,
         metrics_listen=(host, METRICS_PORT),
         retries=retries,
+        shard_cost_us=shard_cost_us(cores, link_mbps) if cores and link_mbps else 0,
         stop_grace_s=grace,
     )
 
--- a/filbertshelf/protocol/membership.py
+++ b/filbertshelf/protocol/membership.py
@@ -20,18 +20,27 @@
     port: int
     inc: int
     st: int
+    us: int = 0
 
     @classmethod
     def of(cls, member: Member) -> MemberRow:
         """Return the row of a member."""
         ip, port = member.address
         status = int(member.status)
-        return cls(member.id, member.data_centre, ip, port, member.incarnation, status)
+        return cls(
+            member.id,
+            member.data_centre,
+            ip,
+            port,
+            member.incarnation,
+            status,
+            member.shard_us,
+        )
 
     def member(self) -> Member:
         """Return the member; raises `ValueError` for an unknown status."""
         address = (self.ip, self.port)
-        return Member(self.id, self.dc, address, self.inc, Status(self.st))
+        return Member(self.id, self.dc, address, self.inc, Status(self.st), self.us)
 
 
 Rows = tuple[MemberRow, ...]
--- a/filbertshelf/state/members.py
+++ b/filbertshelf/state/members.py
@@ -60,6 +60,8 @@
     address: Address
     incarnation: int
     status: Status = Status.ALIVE
+    shard_us: int = 0
+    """How many microseconds it takes for one shard of a query, 0 if unknown."""
 
     @property
     def precedence(self) -> tuple:
@@ -200,6 +202,10 @@
         """Set the own address, which is known only after listening."""
         self._set_own(attrs.evolve(self.own, address=address))
 
+    def set_shard_cost(self, shard_us: int) -> None:
+        """Set how many microseconds this instance takes for one shard of a query."""
+        self._set_own(attrs.evolve(self.own, shard_us=shard_us))
+
     def raise_incarnation(self, at_least: int = 0) -> Member:
         """Raise the own incarnation by one or to `at_least`; return the own row."""
         incarnation = max(self.own.incarnation + 1, at_least)
--- a/test/coordination/routed_world.py
+++ b/test/coordination/routed_world.py
@@ -262,7 +262,7 @@
             self.time.call_later,
             lambda address, quota, clock: LeafPool(self._ports[address[1]]),
         )
-        self.targets.set_fleet(fleet)
+        self.targets.set_fleet(fleet, fleet, True)
         self.crashes = Crashes(self.time)
         self.tools = Tools(
             self.time,
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -34,6 +34,7 @@
             "budgetWindowS": 10,
             "budgetMinRetries": 129,
         },
+        "limits": {"cpuShare": 0.5, "cores": 2, "linkMbps": 100.0},
         "platform": {"address": "10.200.1.7:8102", "form": "read"},
         "somethingNew": {"a": [1]},
     }
@@ -48,6 +49,7 @@
     assert cfg.listen == ("10.1.0.9", 8104)
     assert cfg.retries.slack == 129.0
     assert cfg.stop_grace_s == 6.0
+    assert cfg.shard_cost_us == 400
 
 
 def test_all_problems_are_reported_at_once():
