--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+import attrs
 import mode
 
 from filbertshelf import events
 from filbertshelf.coordination.gather import Gather
 from filbertshelf.coordination.routed import Ending, RoutedRequest, Timer, Tools
-from filbertshelf.errors import FilbertshelfError
+from filbertshelf.errors import FilbertshelfError, PeerUnreachableError
 from filbertshelf.protocol.delegation import (
     DelegationAnswer,
     DelegationEnded,
@@ -26,7 +27,7 @@
 from filbertshelf.transport.http1.server import Request
 from filbertshelf.transport.peers import Sender
 
-REPLY_TIMEOUT_S = 0.06
+REPLY_TIMEOUT_S = 0.1
 """A delegate that doesn't reply in this time stands still or is cut off."""
 
 AVOID_S = 5.0
@@ -203,9 +204,11 @@
             self._tools.clock.monotonic() - req.received_at,
             self._job.table.version,
         )
+        unknown = False
         try:
             reply = await self._delegation.ask(self._member, msg)
         except FilbertshelfError as exc:
+            unknown = not isinstance(exc, PeerUnreachableError)
             self._delegation.avoid(self._member)
             self._delegation.tell_ended(self._member, self._key)
             reply = DelegationReply(False, str(exc))
@@ -217,13 +220,19 @@
             reason=reply.reason,
         )
         if not reply.taken:
-            self._run_here()
+            self._run_here(unknown)
 
-    def _run_here(self) -> None:
-        """Run the query without the delegate; it has not run there."""
+    def _run_here(self, unknown: bool) -> None:
+        """Run the query without the delegate; `unknown` says that it may run there.
+
+        Then each shard is asked once only, because the delegate may ask the others
+        that the route allows.
+        """
         self._delegation.forget(self._key)
         if self._ended:
             return
+        if unknown:
+            self._job.route = attrs.evolve(self._job.route, max_attempts=1)
         self._timer.cancel()
         self._own = Gather(self._tools, self._job, self._done)
         self._own.start()
--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -42,7 +42,7 @@
 ASK_TIMEOUT_S = 0.5
 """The wait for a peer's news."""
 
-MAX_TOLD = 128
+MAX_TOLD = 160
 """Peers that are told directly; others learn from those."""
 
 TOLD_ON = 3
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -90,8 +90,14 @@
             return False
         budget = self._tools.targets.budget(self.service)
         left = budget.left(now)
-        allowed = left >= 1.0 + BUDGET_RESERVE and self._may_send_more()
-        sent = allowed and self._attempt(now, extra=True)
+        if not self._may_send_more():
+            decision = "withheld: the route allows no further target"
+        elif left < 1.0 + BUDGET_RESERVE:
+            decision = "withheld: the retry budget is used up"
+        elif self._attempt(now, extra=True):
+            decision = "sent"
+        else:
+            decision = "withheld: no other target is available"
         if self._job.lines.allows(now):
             events.emit(
                 events.HEDGE_DECIDED,
@@ -100,9 +106,9 @@
                 target=entry.id,
                 waited_ms=round((now - exchange.started_at) * 1000, 1),
                 budget_left=round(left, 1),
-                sent=sent,
+                decision=decision,
             )
-        return sent
+        return decision == "sent"
 
     def _move(self, exchange: Exchange, entry: TargetEntry, now: float) -> bool:
         """Ask another target instead of one to which no connection is free."""
--- a/filbertshelf/events.py
+++ b/filbertshelf/events.py
@@ -257,13 +257,13 @@
 HEDGE_DECIDED = define(
     212,
     "hedge-decided",
-    "A target is slow; a second one was asked or not, by the budget that was left.",
+    "A target is slow; the decision to ask a second one, and the budget left.",
     "request_id",
     "service",
     "target",
     "waited_ms",
     "budget_left",
-    "sent",
+    "decision",
 )
 
 # 3xx: targets and placement.
--- a/filbertshelf/transport/peers.py
+++ b/filbertshelf/transport/peers.py
@@ -54,7 +54,7 @@
 )
 
 # Links to more peers than one round of news goes to would be opened again each round.
-MAX_IDLE_LINKS = 128
+MAX_IDLE_LINKS = 160
 # Seconds from the TCP connect to the end of the handshake.
 CONNECT_TIMEOUT = 2.0
 # Seconds that a notice may wait for room in the socket's buffer.
