--- a/filbertshelf/bench/capacity.py
+++ b/filbertshelf/bench/capacity.py
@@ -24,6 +24,7 @@
     measure_sockets,
 )
 from filbertshelf.bench.refusal_cost import RefusalCost, measure_refusals
+from filbertshelf.bench.routed_cost import measure_routed
 from filbertshelf.bench.size_cost import SizeCost, measure_sizes
 from filbertshelf.bench.spread import (
     SpreadCost,
@@ -87,6 +88,7 @@
     spreads: Sequence[SpreadCost]
     paths: Sequence[PathCost]
     sockets: Sequence[SocketCost]
+    routed: Sequence[SocketCost]
     latency: Latency
     memory: MemoryCost
     sizes: SizeCost
@@ -119,6 +121,7 @@
     progress("query path")
     paths = measure_path(cfg.fan_outs, cfg.rounds)
     sockets, latency = measure_sockets(cfg.fan_outs, cfg.targets, cfg.rounds)
+    routed = measure_routed(cfg.fan_outs, cfg.rounds)
     memory = measure_memory(cfg.targets)
     sizes = measure_sizes()
     progress("bookings")
@@ -135,6 +138,7 @@
         spreads=spreads,
         paths=paths,
         sockets=sockets,
+        routed=routed,
         latency=latency,
         memory=memory,
         sizes=sizes,
@@ -187,6 +191,7 @@
         *_rows("spread", costs.spreads, "nodes", _SPREAD_UNITS),
         *_rows("query, stub links", costs.paths, "fan_out", _PATH_UNITS),
         *_rows("query, HTTP", costs.sockets, "fan_out", _SOCKET_UNITS),
+        *_rows("gateway query, HTTP", costs.routed, "fan_out", _SOCKET_UNITS),
         *_rows("latency", [costs.latency], "", _LATENCY_UNITS),
         *_rows("memory", [costs.memory], "", _MEMORY_UNITS),
         *_rows("sizes", [costs.sizes], "", _SIZE_UNITS),
@@ -275,7 +280,3 @@
         f"{value:>{widths[3]}}  {unit}"
         for part, name, size, value, unit in cells
     )
-
-
-def _text(size: int | None) -> str:
-    return "-" if size is None else str(size)
--- /dev/null
+++ b/filbertshelf/bench/routed_cost.py
@@ -0,0 +1,167 @@
+"""The CPU time of a gateway's query path over HTTP to targets in another thread."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import statistics
+import threading
+import time
+from collections.abc import Sequence
+
+import uvloop
+
+from filbertshelf.bench.query_cost import ROUND_SUB_REQUESTS, SocketCost, settings
+from filbertshelf.clock import SystemClock
+from filbertshelf.coordination.gather import Gather
+from filbertshelf.coordination.listed_targets import ListedTargets
+from filbertshelf.coordination.routed import Ending, RoutedRequest, Tools
+from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.protocol.dialect import HeaderNames, Judge
+from filbertshelf.protocol.heads import Response, find
+from filbertshelf.state.crashes import Crashes
+from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.retry_window import RetryPolicy
+from filbertshelf.state.routing import Gather as GatherRule
+from filbertshelf.state.routing import Limits, Repeat, Route, RouteTable
+from filbertshelf.transport.http1.server import HttpServer, Request
+
+NAMES = HeaderNames(
+    request_id=b"Id",
+    deadline_ms=b"Left-Ms",
+    stamp=b"Stamp",
+    expected_target=b"Expect",
+    not_run=b"Not-Run",
+    target_id=b"Target",
+    part_stamps=b"Parts",
+    missing_parts=b"Missing",
+)
+RECORDS = bytes(range(192))
+TIME_S = 60.0
+_LOOPBACK = ("127.0.0.1", 0)
+
+
+class _Leaf:
+    """Answers each request at once with some records."""
+
+    def handle(self, req: Request) -> None:
+        request_id = find(req.fields, b"id")
+        fields = ((b"Stamp", b"stamp-" + request_id), (b"Id", request_id))
+        req.reply(Response(200, fields, RECORDS))
+
+    def limits(self) -> Limits:
+        return Limits(idle_timeout_s=TIME_S)
+
+    def rejected(self, status: int, reason: str) -> None:
+        raise AssertionError(f"the measurement sent a bad request: {reason}")
+
+
+class _LeafThread(threading.Thread):
+    """Serves all targets on one address until `stop` is called."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.ready = threading.Event()
+        self.address = _LOOPBACK
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._end: asyncio.Event | None = None
+
+    def run(self) -> None:
+        uvloop.run(self._serve())
+
+    async def _serve(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._end = asyncio.Event()
+        server = HttpServer(_LOOPBACK, _Leaf(), SystemClock())
+        await server.start()
+        self.address = server.address
+        self.ready.set()
+        await self._end.wait()
+        await server.stop()
+
+    def stop(self) -> None:
+        """End the server and wait for it."""
+        self._loop.call_soon_threadsafe(self._end.set)
+        self.join()
+
+
+def measure_routed(fan_outs: Sequence[int], rounds: int) -> list[SocketCost]:
+    """Return the cost of queries over each number of shards, one target each.
+
+    The CPU time is that of the gateway's thread; the targets run in another.
+    """
+    leaf = _LeafThread()
+    leaf.start()
+    leaf.ready.wait()
+    try:
+        return [uvloop.run(_measure(count, rounds, leaf.address)) for count in fan_outs]
+    finally:
+        leaf.stop()
+
+
+async def _measure(fan_out: int, rounds: int, address: tuple[str, int]) -> SocketCost:
+    tools = _tools(fan_out, address)
+    route = _route(fan_out)
+    await _ask(tools, route)
+    queries = max(1, ROUND_SUB_REQUESTS // fan_out)
+    cpu, wall = [], []
+    for _ in range(rounds):
+        cpu_start, wall_start = time.thread_time(), time.monotonic()
+        for _ in range(queries):
+            await _ask(tools, route)
+        cpu.append((time.thread_time() - cpu_start) / (queries * fan_out) * 1e6)
+        wall.append((time.monotonic() - wall_start) / queries * 1e3)
+    tools.targets.close()
+    return SocketCost(fan_out, statistics.median(cpu), statistics.median(wall))
+
+
+def _tools(fan_out: int, address: tuple[str, int]) -> Tools:
+    clock = SystemClock()
+    cfg = GatewaySettings(
+        instance=settings(),
+        listen=_LOOPBACK,
+        ready_listen=_LOOPBACK,
+        retries=RetryPolicy(0.2, 100.0, 10.0),
+        stop_grace_s=1.0,
+    )
+    loop = asyncio.get_running_loop()
+    targets = ListedTargets(cfg, clock, random.Random(1), loop.call_later)
+    targets.set_fleet(1, 1, True)
+    text = "{}:{}".format(*address)
+    for number in range(fan_out):
+        listed = ListedTarget(
+            f"t{number}", f"s{number}", text, cfg.instance.data_centre, 2, False, 0
+        )
+        targets.apply([TargetChange(listed.id, number + 1, listed)])
+    crashes = Crashes(clock)
+    return Tools(
+        clock, loop.call_later, targets, NAMES, Judge(NAMES), crashes, crashes.died
+    )
+
+
+def _route(fan_out: int) -> Route:
+    shards = tuple(f"s{number}" for number in range(fan_out))
+    return Route(
+        name="capacity",
+        host="h",
+        prefix="/",
+        repeat=Repeat.IDEMPOTENT,
+        timeout_s=TIME_S,
+        aim_s=TIME_S,
+        max_attempts=1,
+        priority=0,
+        gather=GatherRule(shards, 10, 1.0),
+    )
+
+
+async def _ask(tools: Tools, route: Route) -> None:
+    ended: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
+    now = tools.clock.monotonic()
+    fields = [(b"Host", b"h"), (b"Id", b"r1")]
+    req = Request(b"GET", b"/x", fields, b"", now, True, lambda response: None)
+    table = RouteTable.build(1, [route], [], Limits())
+    job = RoutedRequest.make(req, b"r1", route, table, now + TIME_S, tools)
+    Gather(tools, job, ended.set_result).start()
+    ending = await ended
+    if ending.outcome != "whole":
+        raise RuntimeError(f"a query of the measurement ended {ending.outcome}")
--- a/test/bench/test_capacity.py
+++ b/test/bench/test_capacity.py
@@ -22,6 +22,7 @@
         "spread": SMOKE.spread_nodes,
         "query, stub links": SMOKE.fan_outs,
         "query, HTTP": SMOKE.fan_outs,
+        "gateway query, HTTP": SMOKE.fan_outs,
         "latency": "-",
         "memory": "-",
         "sizes": "-",
