--- a/filbertshelf/coordination/routed.py
+++ b/filbertshelf/coordination/routed.py
@@ -128,3 +128,8 @@
     missing: tuple[str, ...] = ()
     slowest: str = ""
     """The target that answered last, and after how many milliseconds."""
+
+    @property
+    def answered(self) -> bool:
+        """Return whether targets answered the request with success."""
+        return 200 <= self.response.status < 300
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -200,6 +200,9 @@
         return sequence
 
     def _log_ending(self, job: RoutedRequest, ending: Ending) -> None:
+        crashes = self._tools.crashes
+        if ending.answered and crashes.any_known():
+            crashes.answered(job.fingerprint(crashes))
         elapsed = self._tools.clock.monotonic() - job.req.received_at
         self._count(job, ending, elapsed)
         events.emit(
--- a/filbertshelf/logs.py
+++ b/filbertshelf/logs.py
@@ -1,18 +1,20 @@
-"""Where log lines go: a buffered file destination for eliot."""
+"""Where the log lines of an instance go."""
 
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import TextIO
 
 import eliot
 import mode
 
+from filbertshelf import events
 from filbertshelf.settings import Settings
+from filbertshelf.transport.log_pipe import LogPipe
 
 FLUSH_PERIOD_S = 0.1
+STDOUT = 1
 
 
 class _LazyFile:
@@ -34,24 +36,29 @@
 
 
 class LogFile(mode.Service):
-    """Owns the log file of the settings; lines are at most 0.1 s late in it."""
+    """Owns where the log goes: a file, or standard output without one.
+
+    Lines are at most 0.1 s late in a file. Standard output is never waited for.
+    """
 
     def __init__(self, cfg: Settings):
         super().__init__()
         self._cfg = cfg
-        self._file: TextIO = sys.stderr
+        self._file: TextIO | None = None
         self._destination: eliot.FileDestination | None = None
 
     async def on_start(self) -> None:
-        """Open the file and send eliot's messages to it."""
-        if self._cfg.log_file:
-            self._file = Path(self._cfg.log_file).open("a", encoding="utf-8")  # noqa: ASYNC230, SIM115
+        """Send eliot's messages to the file, or to standard output."""
+        if not self._cfg.log_file:
+            await self.add_runtime_dependency(LogPipe(STDOUT, _note_dropped))
+            return
+        self._file = Path(self._cfg.log_file).open("a", encoding="utf-8")  # noqa: ASYNC230, SIM115
         self._destination = eliot.FileDestination(file=_LazyFile(self._file))
         eliot.add_destinations(self._destination)
 
     @mode.Service.task
     async def _flush(self) -> None:
-        while not self.should_stop:
+        while not self.should_stop and self._cfg.log_file:
             await asyncio.sleep(FLUSH_PERIOD_S)
             self._file.flush()
 
@@ -59,6 +66,9 @@
         """Write what is buffered and close the file."""
         if self._destination is not None:
             eliot.remove_destination(self._destination)
-        self._file.flush()
-        if self._file is not sys.stderr:
+        if self._file is not None:
             self._file.close()
+
+
+def _note_dropped(count: int) -> None:
+    events.emit(events.LINES_DROPPED, count=count)
--- a/filbertshelf/settings.py
+++ b/filbertshelf/settings.py
@@ -189,7 +189,11 @@
         "adaptive",
     )
     log_file: str = _setting(
-        "logs", "where log lines go", str, "write a path; empty means stderr", ""
+        "logs",
+        "where log lines go",
+        str,
+        "write a path; empty means standard output",
+        "",
     )
     ready_file: str = _setting(
         "instance",
