--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import enum
-import socket
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +12,7 @@
 
 from filbertshelf.clock import Clock
 from filbertshelf.protocol.heads import Field
+from filbertshelf.transport.http1.sockets import prepare
 
 CONNECT_TIMEOUT_S = 1.0
 # An address without an acknowledgement for so long has lost power or is cut off.
@@ -82,11 +82,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
+        prepare(transport, TCP_USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Parse what came; bytes that no request asked for end the connection."""
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import enum
-import socket
 from collections.abc import Callable
 from typing import Protocol
 
@@ -22,6 +21,7 @@
     status_line,
 )
 from filbertshelf.state.routing import Limits
+from filbertshelf.transport.http1.sockets import prepare
 
 BACKLOG = 1_024
 # Whole requests of one connection that wait for the one before them.
@@ -105,11 +105,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
+        prepare(transport, TCP_USER_TIMEOUT_MS)
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
