--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import random
 from collections.abc import Callable, Sequence
@@ -39,8 +38,8 @@
 WAIT_CHECK_S = 0.2
 """How often a waiting instance looks whether it should still wait."""
 
-ASK_TIMEOUT_S = 0.5
-"""The wait for a peer's news."""
+ASK_TIMEOUT_S = 1.0
+"""The wait for a peer's news, which may be everything over a narrow link."""
 
 MAX_TOLD = 160
 """Peers that are told directly; others learn from those."""
@@ -122,6 +121,7 @@
         self._unsure_until = -math.inf
         self._reread = True
         self._failures = 0
+        self._asking = False
         peers.register(FeedNews, self._on_news)
         peers.register(FeedWanted, self._on_wanted)
 
@@ -265,9 +265,23 @@
         known = [a for a in self._seeds if a != self._peers.address]
         if known:
             asked.append(self._rng.choice(known))
-        await asyncio.gather(*(self._ask(address) for address in asked))
+        for address in asked:
+            await self._ask(address)
 
     async def _ask(self, address: Address) -> None:
+        """Ask for what is missing, one peer at a time.
+
+        The answer may hold everything; several of them would fill a narrow link.
+        """
+        if self._asking:
+            return
+        self._asking = True
+        try:
+            await self._ask_one(address)
+        finally:
+            self._asking = False
+
+    async def _ask_one(self, address: Address) -> None:
         wanted = FeedWanted(self.directory.revision, self._config_revision())
         try:
             reply = await self._peers.request(address, wanted, ASK_TIMEOUT_S)
--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import attrs
 
 from filbertshelf.protocol.messages import message
@@ -62,7 +64,7 @@
 
     `age_s` is the time since the platform said so, `unsure` tells that targets may be
     missing only because the platform was away. `config_revision` is the one that the
-    sender holds; `config` is empty if the receiver should hold it too.
+    sender holds; `config` is compressed, and empty if the receiver should hold it too.
     """
 
     since: int
@@ -84,7 +86,7 @@
             news.directory.revision,
             rows,
             config_revision,
-            news.config.text if news.config else b"",
+            zlib.compress(news.config.text) if news.config else b"",
             age_s,
             unsure,
         )
@@ -95,7 +97,7 @@
         directory = DirectoryChange(self.since, self.revision, changes)
         config = None
         if self.config:
-            config = ConfigText(self.config_revision, self.config)
+            config = ConfigText(self.config_revision, zlib.decompress(self.config))
         return News(directory, config)
 
 
--- a/test/coordination/test_feed.py
+++ b/test/coordination/test_feed.py
@@ -334,3 +334,24 @@
     assert not found.feeds["n0"].ready
     for feed in found.feeds.values():
         await feed.stop()
+
+
+async def test_who_lacks_much_asks_one_peer_at_a_time(fleet):
+    # Guards against a link filled with the same answer many times over: version 9
+    # came too late at an instance of the grown hhgq-shelf (CONFIG, scale-2).
+    behind = fleet.feeds["n5"]
+    asked = []
+
+    async def slow(address, msg, timeout):
+        asked.append(address)
+        await asyncio.sleep(3600)
+
+    behind._peers.request = slow
+    fleet.cut = {"n5"}
+    fleet.platform.down_for = {"n5"}
+    await fleet.run(1.0)
+    fleet.platform.put("t2")
+    await fleet.run(2.0)
+    fleet.cut = set()
+    await fleet.run(5.0)
+    assert len(asked) == 1
