Read the store's pages and configuration also where an item is broken

The next page was asked for after the key of the last item; an item without a key raised KeyError, which ends the task that reads the store. A configuration that isn't base64 made every poll fail, and hid the targets too. Change: the next page begins after the last item that has a key, a page without any is an error; a configuration that can't be decoded is left out and logged (413). Test: five cases in platform/test_store failed before.

--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -51,11 +51,12 @@
         query = {"prefix": EVERYTHING}
         for _ in range(MAX_PAGES):
             page = await self._get(RANGE_PATH, query)
-            items += _list(page, "items")
+            found = _list(page, "items")
+            items += found
             revision = revision or _revision(page)
-            if not page.get("hasMore") or not items:
+            if not page.get("hasMore") or not found:
                 return _news(0, revision, items)
-            query["after"] = items[-1]["key"]
+            query["after"] = _last_key(found)
         raise PlatformContentError(f"the store has over {MAX_PAGES} pages")
 
     async def changes(self, after: int) -> News:
@@ -99,22 +100,25 @@
     return found
 
 
+def _last_key(items: list[Any]) -> str:
+    """Return the key after which the next page begins."""
+    for item in reversed(items):
+        if _is_item(item):
+            return item["key"]
+    raise PlatformContentError("no item of the store's page has a key")
+
+
 def _news(since: int, revision: int, items: Iterable[Any]) -> News:
     """Return the news in items and events; what can't be understood is left out."""
     config = None
     changes: dict[str, TargetChange] = {}
     for item in items:
         if not _is_item(item):
-            events.emit(
-                events.ENTRY_IGNORED,
-                key=f"{item!r:.80}",
-                revision=revision,
-                reason="it has no key or no revision",
-            )
+            _log_ignored(f"{item!r:.80}", revision, "it has no key or no revision")
             continue
         key = item["key"]
-        if key == CONFIG_KEY and not item.get("deleted"):
-            config = ConfigText(item["modRevision"], _value(item))
+        if key == CONFIG_KEY:
+            config = _config(item) or config
         elif key.startswith(TARGET_PREFIX):
             change = _change(item, key.removeprefix(TARGET_PREFIX))
             changes[change.id] = change
@@ -130,6 +134,17 @@
     )
 
 
+def _config(item: dict[str, Any]) -> ConfigText | None:
+    """Return the configuration in an item, None if it holds none."""
+    if item.get("deleted"):
+        return None
+    try:
+        return ConfigText(item["modRevision"], _value(item))
+    except PlatformContentError as exc:
+        _log_ignored(item["key"], item["modRevision"], str(exc))
+        return None
+
+
 def _change(item: dict[str, Any], id_: str) -> TargetChange:
     revision = item["modRevision"]
     if item.get("deleted"):
@@ -137,12 +152,14 @@
     try:
         return TargetChange(id_, revision, decode_target(id_, _value(item)))
     except PlatformContentError as exc:
-        events.emit(
-            events.ENTRY_IGNORED, key=item["key"], revision=revision, reason=str(exc)
-        )
+        _log_ignored(item["key"], revision, str(exc))
         return TargetChange(id_, revision, None)
 
 
+def _log_ignored(key: str, revision: int, reason: str) -> None:
+    events.emit(events.ENTRY_IGNORED, key=key, revision=revision, reason=reason)
+
+
 def _value(item: dict[str, Any]) -> bytes:
     try:
         return base64.b64decode(item["value"], validate=True)
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from filbertshelf.clock import SystemClock
-from filbertshelf.errors import HistoryLostError, PlatformError
+from filbertshelf.errors import HistoryLostError, PlatformContentError, PlatformError
 from filbertshelf.platform import store as module
 from filbertshelf.platform.store import StoreClient
 from test.platform.store_standin import StoreStandin
@@ -91,6 +91,35 @@
     assert (await client.changes(before)).config is None
 
 
+@pytest.mark.parametrize("item", [{"value": ""}, "text", {"key": 7}])
+async def test_a_page_may_end_with_an_item_without_a_key(store, client, item):
+    # Guards against a KeyError that ends the task which reads the store.
+    store.items["servers/i-a"] = item
+    news = await client.snapshot()
+    assert [change.id for change in news.directory.targets] == ["i-b", "i-c"]
+
+
+async def test_pages_without_any_key_are_an_error(store, client):
+    # Guards against reading the same page for ever.
+    for key in list(store.items)[1:]:
+        store.items[key] = {"value": ""}
+    store.page_size = 1
+    with pytest.raises(PlatformContentError):
+        await client.snapshot()
+
+
+async def test_a_config_that_cannot_be_read_hides_no_target(store, client, log):
+    # Guards against a configuration of another writer that stops all news.
+    before = (await client.snapshot()).directory.revision
+    store.put("op/config", CONFIG)
+    store.events[-1]["value"] = "not base64!"
+    store.delete("servers/i-b")
+    news = await client.changes(before)
+    assert news.config is None
+    assert [change.id for change in news.directory.targets] == ["i-b"]
+    assert [line["key"] for line in log if line["event"] == 413] == ["op/config"]
+
+
 async def test_items_without_key_or_revision_are_left_out(store, client, log):
     # Guards against an item that ends the task which reads the store.
     store.items["servers/i-b"] = {"key": "servers/i-b", "value": ""}
