Leave a target of each shard to the sender of a delegated query until it confirms

A delegate can't tell how late it is: clocks differ and the notice that the query has ended comes over the same slow connection. Change: the two share the targets that the route allows. A delegate starts at once with all but one target a shard; the sender confirms once the reply is in, and only then may the delegate ask the last one. A sender that got no reply asks that one. A route with a single target is not run by the sender after a silent delegate (502).

--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -16,6 +16,7 @@
 from filbertshelf.errors import FilbertshelfError, PeerUnreachableError
 from filbertshelf.protocol.delegation import (
     DelegationAnswer,
+    DelegationConfirmed,
     DelegationEnded,
     DelegationReply,
     QueryDelegated,
@@ -24,6 +25,7 @@
 from filbertshelf.protocol.heads import Response
 from filbertshelf.state.delegation import Delegates
 from filbertshelf.state.members import Address, Member
+from filbertshelf.state.routing import Route
 from filbertshelf.transport.http1.server import Request
 from filbertshelf.transport.peers import Sender
 
@@ -50,8 +52,19 @@
         """Send a message without a reply; raises `FilbertshelfError`."""
 
 
-Serve = Callable[[Request, int, Callable[[Ending], None]], str]
-"""Starts a delegated request; returns why it is not taken, or an empty text."""
+SENDER_TARGETS = 1
+"""Targets of each shard that a sender may ask by itself if no reply comes in time."""
+
+
+@attrs.frozen
+class NotTaken:
+    """Why an instance does not run a query for another; nothing of it ran."""
+
+    reason: str
+
+
+Serve = Callable[[Request, int, Callable[[Ending], None]], RoutedRequest | NotTaken]
+"""Starts a delegated request without hedges; `held_back` of the result allows them."""
 
 
 class Delegation(mode.Service):
@@ -70,8 +83,9 @@
         self._keys = itertools.count(1)
         self._avoided: dict[str, float] = {}
         self._waiting: dict[str, DelegatedGather] = {}
-        self._serving: dict[tuple[Address, str], Request] = {}
+        self._serving: dict[tuple[Address, str], RoutedRequest] = {}
         peers.register(QueryDelegated, self._on_delegated)
+        peers.register(DelegationConfirmed, self._on_confirmed)
         peers.register(DelegationAnswer, self._on_answer)
         peers.register(DelegationEnded, self._on_ended)
 
@@ -109,6 +123,10 @@
             return reply
         return DelegationReply(False, f"the reply is {type(reply).__name__}")
 
+    def tell_confirmed(self, member: Member, key: str) -> None:
+        """Tell a delegate that its reply came in time."""
+        self.start_task(self._notify(member.address, DelegationConfirmed(key)))
+
     def tell_ended(self, member: Member, key: str) -> None:
         """Tell a delegate that nobody waits any more."""
         self.start_task(self._notify(member.address, DelegationEnded(key)))
@@ -147,16 +165,23 @@
             )
             self.start_task(self._notify(sender.address, answer))
 
-        self._serving[place] = req
-        reason = self.serve(req, msg.version, done)
-        if reason:
-            self._serving.pop(place, None)
-        return DelegationReply(not reason, reason)
+        job = self.serve(req, msg.version, done)
+        if isinstance(job, NotTaken):
+            return DelegationReply(False, job.reason)
+        # A query that no target can answer has ended by now.
+        if req.on_gone is not None:
+            self._serving[place] = job
+        return DelegationReply(True)
+
+    async def _on_confirmed(self, sender: Sender, msg: DelegationConfirmed) -> None:
+        job = self._serving.get((sender.address, msg.key))
+        if job is not None:
+            job.held_back = 0
 
     async def _on_ended(self, sender: Sender, msg: DelegationEnded) -> None:
-        req = self._serving.pop((sender.address, msg.key), None)
-        if req is not None and req.on_gone is not None:
-            req.on_gone()
+        job = self._serving.pop((sender.address, msg.key), None)
+        if job is not None and job.req.on_gone is not None:
+            job.req.on_gone()
 
     async def _notify(self, address: Address, msg: Any) -> None:
         try:
@@ -221,18 +246,23 @@
         )
         if not reply.taken:
             self._run_here(unknown)
+        elif not self._ended:
+            self._delegation.tell_confirmed(self._member, self._key)
 
     def _run_here(self, unknown: bool) -> None:
         """Run the query without the delegate; `unknown` says that it may run there.
 
-        Then each shard is asked once only, because the delegate may ask the others
-        that the route allows.
+        Then this instance asks the targets that the delegate leaves to it.
         """
         self._delegation.forget(self._key)
         if self._ended:
             return
         if unknown:
-            self._job.route = attrs.evolve(self._job.route, max_attempts=1)
+            left = max_targets_of_sender(self._job.route)
+            if not left:
+                self._finish(Ending(refusal(502), "unknown", 0, 0))
+                return
+            self._job.held_back = self._job.route.max_attempts - left
         self._timer.cancel()
         self._own = Gather(self._tools, self._job, self._done)
         self._own.start()
@@ -275,9 +305,17 @@
             self._timer.cancel()
 
 
+def max_targets_of_sender(route: Route) -> int:
+    """Return how many targets of a shard the delegate leaves to the sender.
+
+    A single one is the delegate's: the sender then can't run the query by itself.
+    """
+    return min(SENDER_TARGETS, route.max_attempts - 1)
+
+
 def _no_reply(response: Response) -> None:
     """Ignore a response that goes back in a message."""
 
 
-def _refuse_all(req: Request, version: int, done: Callable[[Ending], None]) -> str:
-    return "the instance takes no queries yet"
+def _refuse_all(req: Request, version: int, done: Callable[[Ending], None]) -> NotTaken:
+    return NotTaken("the instance takes no queries yet")
--- a/filbertshelf/coordination/routed.py
+++ b/filbertshelf/coordination/routed.py
@@ -73,6 +73,8 @@
     deadline: float
     """When the caller stops waiting, or the route's time is up."""
     lines: RequestLines
+    held_back: int = 0
+    """Targets of each shard that are left to another instance, which may run it too."""
     _prefix: bytes = b""
 
     @classmethod
@@ -95,6 +97,11 @@
         routed._prefix = first + render_fields(fields)
         return routed
 
+    @property
+    def max_targets(self) -> int:
+        """Return how many targets of each shard this instance may ask."""
+        return self.route.max_attempts - self.held_back
+
     @property
     def text_id(self) -> str:
         """Return the id as text for the log."""
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -9,7 +9,12 @@
 import attrs
 
 from filbertshelf import events
-from filbertshelf.coordination.delegation import DelegatedGather, Delegation
+from filbertshelf.coordination.delegation import (
+    DelegatedGather,
+    Delegation,
+    NotTaken,
+    max_targets_of_sender,
+)
 from filbertshelf.coordination.feed import Feed
 from filbertshelf.coordination.forward import Forward
 from filbertshelf.coordination.gather import Gather
@@ -135,24 +140,25 @@
 
     def serve_delegated(
         self, req: Request, version: int, done: Callable[[Ending], None]
-    ) -> str:
-        """Run a query for another instance; return why not, or an empty text."""
+    ) -> RoutedRequest | NotTaken:
+        """Run a query for another instance, with what it leaves to this one."""
         table = self._feed.table
         if table is None or table.version < version:
-            return "the configuration is older than the query's"
+            return NotTaken("the configuration is older than the query's")
         if self.stopping:
-            return "the instance is stopping"
+            return NotTaken("the instance is stopping")
         request_id = find(req.fields, self._tools.names.request_id.lower()) or b""
         job = self._job(req, request_id, table)
         if isinstance(job, _Refusal) or job.route.gather is None:
-            return "the configuration has no such query"
+            return NotTaken("the configuration has no such query")
+        job.held_back = max_targets_of_sender(job.route)
 
         def log_and_tell(ending: Ending) -> None:
             self._log_ending(job, ending)
             done(ending)
 
         self._start(job, Gather(self._tools, job, self._ended(job, log_and_tell)))
-        return ""
+        return job
 
     def _ended(
         self, job: RoutedRequest, done: Callable[[Ending], None]
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -144,7 +144,7 @@
     def _may_ask_another(self) -> bool:
         """Return whether the route allows one more target."""
         asked = len(self._sent_to) + len(self._running)
-        return asked < self._job.route.max_attempts
+        return asked < self._job.max_targets
 
     def _attempt(self, now: float, extra: bool = False) -> bool:
         """Send to the best target that was not tried; return False without one."""
--- a/filbertshelf/protocol/delegation.py
+++ b/filbertshelf/protocol/delegation.py
@@ -36,6 +36,14 @@
     reason: str = ""
 
 
+@message("delegation-confirmed")
+@attrs.frozen
+class DelegationConfirmed:
+    """Says that the sender got the reply in time and runs nothing by itself."""
+
+    key: str
+
+
 @message("delegation-answer")
 @attrs.frozen
 class DelegationAnswer:
--- a/test/coordination/test_delegation.py
+++ b/test/coordination/test_delegation.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
+from collections.abc import Callable
 
+import attrs
 import pytest
 
-from filbertshelf.coordination.delegation import DelegatedGather, Delegation
+from filbertshelf.coordination.delegation import (
+    DelegatedGather,
+    Delegation,
+    NotTaken,
+    max_targets_of_sender,
+)
 from filbertshelf.coordination.routed import Ending, RoutedRequest
+from filbertshelf.coordination.router import Router
 from filbertshelf.errors import PeerTimeoutError
+from filbertshelf.gateway_metrics import GatewayMetrics
 from filbertshelf.protocol.delegation import DelegationEnded, QueryDelegated
 from filbertshelf.protocol.heads import Response
 from filbertshelf.state.delegation import Delegates
@@ -32,6 +42,7 @@
         self.handlers = {}
         self.sent = []
         self.silent = False
+        self.replies = True
         network[member.address] = self
 
     def register(self, message_class, handler):
@@ -39,12 +50,16 @@
         self.handlers[message_class] = handler
 
     async def request(self, address, msg, timeout):
-        """Return the reply."""
-        return await self._deliver(address, msg)
+        """Return the reply, unless it is lost."""
+        reply = await self._deliver(address, msg)
+        if not self.network[address].replies:
+            raise PeerTimeoutError("no reply")
+        return reply
 
     async def notify(self, address, msg):
-        """Deliver a message."""
-        await self._deliver(address, msg)
+        """Deliver a message, unless the other side has become slow to read."""
+        if self.network[address].replies:
+            await self._deliver(address, msg)
 
     async def _deliver(self, address, msg):
         self.sent.append(msg)
@@ -54,6 +69,15 @@
         return await other.handlers[type(msg)](self, msg)
 
 
+@attrs.frozen
+class Served:
+    """A query that the hub has taken."""
+
+    req: Request
+    done: Callable[[Ending], None]
+    job: RoutedRequest
+
+
 class Pair:
     """A front that delegates, and a hub; both use the same simulated targets."""
 
@@ -71,22 +95,31 @@
         self.hub.serve = self.serve
         self.refuse = ""
         self.endings = []
+        self.gone = []
+        self.route = gather_route(self.world.add_shards(2))
 
     def serve(self, req, version, done):
         """Take a request, or refuse it."""
         if self.refuse:
-            return self.refuse
-        self.served.append((req, done))
-        return ""
-
-    def job(self) -> RoutedRequest:
-        """Return a query over two shards."""
-        route = gather_route(self.world.add_shards(2))
+            return NotTaken(self.refuse)
+        job = self.job(req)
+        job.held_back = max_targets_of_sender(job.route)
+        req.on_gone = lambda: self.gone.append(req)
+        self.served.append(Served(req, done, job))
+        return job
+
+    def request(self) -> Request:
+        """Return a caller's request."""
         now = self.world.time.monotonic()
         fields = [(b"Host", b"h"), (b"Id", b"r1")]
-        req = Request(b"GET", b"/x/1", fields, b"", now, True, lambda response: None)
-        table = RouteTable.build(4, [route], [], Limits())
-        return RoutedRequest.make(req, b"r1", route, table, now + 0.8, self.world.tools)
+        return Request(b"GET", b"/x/1", fields, b"", now, True, lambda response: None)
+
+    def job(self, req: Request | None = None) -> RoutedRequest:
+        """Return a query over two shards."""
+        req = req or self.request()
+        table = RouteTable.build(4, [self.route], [], Limits())
+        end = self.world.time.monotonic() + 0.8
+        return RoutedRequest.make(req, b"r1", self.route, table, end, self.world.tools)
 
     async def start(self, job: RoutedRequest) -> DelegatedGather:
         """Start a delegated query and let the messages pass."""
@@ -116,7 +149,8 @@
 
 async def test_the_delegates_answer_is_passed_back(pair):
     await pair.start(pair.job())
-    (req, done) = pair.served[0]
+    (served,) = pair.served
+    req, done = served.req, served.done
     assert (req.method, req.target, req.fields[1]) == (b"GET", b"/x/1", (b"Id", b"r1"))
     response = Response(200, ((b"Parts", b"a, b"),), b"records")
     done(Ending(response, "whole", 2, 0))
@@ -135,7 +169,7 @@
     (msg,) = [m for m in pair.peers["front"].sent if isinstance(m, QueryDelegated)]
     assert msg.waited_s == pytest.approx(0.3)
     assert msg.version == 4
-    assert pair.served[0][0].received_at == pytest.approx(0.0)
+    assert pair.served[0].req.received_at == pytest.approx(0.0)
 
 
 @pytest.mark.parametrize("refusal", ["the configuration is older than the query's", ""])
@@ -165,12 +199,77 @@
     assert pair.world.arrivals() == len(job.route.gather.shards)
 
 
+async def test_a_delegate_keeps_one_target_a_shard_for_a_sender_that_gave_up(pair):
+    # Guards against 3 targets of a shard where 2 are allowed: the delegate got a query
+    # 0.34 s late and sent hedges while the sender ran it by itself. Trouble-1 of the
+    # grown turnos-nieve, standard seed, query 585128503c7dacda at 10.058 s.
+    job = pair.job()
+    pair.peers["hub"].replies = False
+    await pair.start(job)
+    pair.world.time.run_until(1.0)
+    asked_here = pair.world.arrivals() / len(job.route.gather.shards)
+    (served,) = pair.served
+    assert asked_here + served.job.max_targets == job.route.max_attempts
+
+
+@attrs.define
+class KnownTable:
+    """A feed that has the configuration."""
+
+    table: RouteTable
+    ready: bool = True
+
+    def age_s(self) -> float:
+        """Return the age of the news."""
+        return 0.0
+
+
+@pytest.mark.parametrize("replies", [False, True])
+async def test_both_instances_ask_just_the_targets_that_the_route_allows(pair, replies):
+    # Guards against the same with the real router, and against a confirmed delegate
+    # that sends no hedges.
+    world = pair.world
+    names = world.add_shards(2, copies=4)
+    for leaf in world.leafs.values():
+        leaf.fault = "silent"
+    pair.route = gather_route(names)
+    feed = KnownTable(RouteTable.build(4, [pair.route], [], Limits()))
+    Router(world.tools, feed, pair.hub, GatewayMetrics(), random.Random(1))
+    pair.peers["hub"].replies = replies
+    await pair.start(pair.job())
+    world.time.run_until(1.0)
+    asked = collections.Counter(
+        leaf.service for leaf in world.leafs.values() for _ in leaf.arrivals
+    )
+    assert asked == dict.fromkeys(names, pair.route.max_attempts)
+
+
+async def test_a_delegate_that_the_sender_waits_for_may_ask_all_targets(pair):
+    # Guards against queries without hedges, which miss the aim at each pause.
+    job = pair.job()
+    await pair.start(job)
+    (served,) = pair.served
+    assert served.job.max_targets == job.route.max_attempts
+
+
+async def test_one_target_a_shard_is_never_shared_with_a_silent_delegate(pair):
+    # Guards against a second target where the route allows one.
+    pair.route = attrs.evolve(pair.route, max_attempts=1)
+    job = pair.job()
+    pair.peers["hub"].silent = True
+    await pair.start(job)
+    pair.world.time.run_until(1.0)
+    assert pair.world.arrivals() == 0
+    (ending,) = pair.endings
+    assert (ending.response.status, ending.outcome) == (502, "unknown")
+
+
 async def test_a_late_answer_changes_nothing(pair):
     job = pair.job()
     await pair.start(job)
     pair.world.time.run_until(1.0)
     assert [e.response.status for e in pair.endings] == [504]
-    pair.served[0][1](Ending(Response(200), "whole", 2, 0))
+    pair.served[0].done(Ending(Response(200), "whole", 2, 0))
     await pair.settle()
     assert len(pair.endings) == 1
 
@@ -178,11 +277,9 @@
 async def test_the_delegate_learns_that_the_caller_left(pair):
     # Guards against work at 90 targets for a caller that has gone.
     run = await pair.start(pair.job())
-    gone = []
-    pair.served[0][0].on_gone = lambda: gone.append(True)
     run.caller_left()
     await pair.settle()
-    assert gone == [True]
+    assert pair.gone == [pair.served[0].req]
     assert any(isinstance(m, DelegationEnded) for m in pair.peers["front"].sent)
 
 
