--- a/filbertshelf/platform/__main__.py
+++ b/filbertshelf/platform/__main__.py
@@ -1,40 +1,13 @@
 """Runs a gateway on the platform: `python3 -m filbertshelf.platform`."""
 
-from __future__ import annotations
-
-import os
+import signal
 import sys
-from pathlib import Path
-
-from filbertshelf.clock import BootClock, Clock
-from filbertshelf.commands.daemon import run_daemon
-from filbertshelf.coordination.gateway import Gateway
-from filbertshelf.errors import FilbertshelfError
-from filbertshelf.gateway_settings import GatewaySettings
-from filbertshelf.platform.entries import decode_table
-from filbertshelf.platform.names import HEADERS, SETTINGS_VARIABLE
-from filbertshelf.platform.settings import SettingsFile
-from filbertshelf.platform.store import StoreClient
-
-
-def main() -> int:
-    """Run until SIGTERM and return the exit code."""
-    settings = SettingsFile(Path(os.environ.get(SETTINGS_VARIABLE, "")))
-    clock = BootClock()
-
-    def make() -> Gateway:
-        return Gateway(settings, HEADERS, _store, decode_table, clock)
-
-    try:
-        return run_daemon(make, "", lambda gateway: {}, Gateway.reload)
-    except FilbertshelfError as exc:
-        print(f"filbertshelf: {exc}", file=sys.stderr)
-        return exc.exit_code
-
 
-def _store(cfg: GatewaySettings, clock: Clock) -> StoreClient:
-    return StoreClient(cfg.instance.platform, clock)
+# Until the settings are read a change of them needs no action, and the default one
+# ends the process. The other modules take most of the start to load.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from filbertshelf.platform.program import main  # noqa: E402
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
 
@@ -83,3 +84,19 @@
     assert done.returncode == SettingsError.exit_code
     assert "listen.front" in done.stderr
     assert "Traceback" not in done.stderr
+
+
+def test_a_reload_signal_during_the_start_ends_nothing(tmp_path):
+    # Guards against a SIGHUP that comes while the modules are loaded: its default
+    # action would end the process.
+    path = tmp_path / "settings.toml"
+    path.write_text('node = "a"\n')
+    env = {**os.environ, "FILBERTSHELF_SETTINGS": str(path)}
+    command = [sys.executable, "-X", "importtime", "-m", "filbertshelf.platform"]
+    with subprocess.Popen(command, env=env, stderr=subprocess.PIPE, text=True) as proc:
+        for line in proc.stderr:
+            if "uvloop" in line:
+                proc.send_signal(signal.SIGHUP)
+                break
+        proc.stderr.read()
+    assert proc.returncode == SettingsError.exit_code
