Withdraw what waits for a connection when a request ends, and say truly that it has not run

Cause: by reading. A request that had waited for a connection until its time was up was answered 504, though nothing was written, and it could be written later. Change: stopping a call withdraws what is not written. The decision between not run, unknown and timed out, and the times to come back, stand once, in shard_call. Test: test_what_waited_for_a_connection_all_the_time_has_not_run, 504 before.

--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -5,21 +5,15 @@
 from collections.abc import Callable
 
 from filbertshelf.coordination.routed import Ending, RoutedRequest, Timer, Tools
-from filbertshelf.coordination.shard_call import ShardCall, slowest
-from filbertshelf.protocol.dialect import refusal
+from filbertshelf.coordination.shard_call import (
+    CLEANUP_S,
+    ShardCall,
+    refuse,
+    slowest,
+)
 from filbertshelf.protocol.heads import Response, end_to_end
 from filbertshelf.state.routing import Repeat
 
-NO_TARGET_RETRY_S = 0.5
-"""When to come back if no target is there; a crashed one is back after seconds."""
-
-BUSY_RETRY_S = 0.1
-"""When to come back if all targets refused; a place is free after one request."""
-
-CLEANUP_S = 0.25
-"""How long a target may still work on what nobody waits for; cutting it short would
-cost a new connection."""
-
 _FRAMING = frozenset((b"content-length",))
 _PROMISES = frozenset((408, 421, 429, 503))
 """Statuses that say that the request has not run."""
@@ -77,11 +71,9 @@
             fields = tuple(end_to_end(failure.fields, _FRAMING))
             response = Response(failure.status, fields, failure.response_body)
             self._finish(response, "target failed")
-        elif call.may_have_run:
-            self._finish(refusal(502), "unknown")
         else:
-            wait = BUSY_RETRY_S if call.sends else NO_TARGET_RETRY_S
-            self._finish(refusal(503, wait), "not run")
+            refused = refuse([call])
+            self._finish(refused.response, refused.outcome)
 
     def resumed(self) -> None:
         """End the request if its time passed while the process did not run."""
@@ -97,10 +89,8 @@
 
     def _timed_out(self) -> None:
         self._call.stop()
-        if self._call.may_have_run:
-            self._finish(refusal(504), "timed out")
-        else:
-            self._finish(refusal(503, BUSY_RETRY_S), "not run")
+        refused = refuse([self._call], timed_out=True)
+        self._finish(refused.response, refused.outcome)
 
     def _finish(self, response: Response, outcome: str) -> None:
         if self._ended:
--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -5,14 +5,13 @@
 import math
 from collections.abc import Callable
 
-from filbertshelf.coordination.forward import (
-    BUSY_RETRY_S,
+from filbertshelf.coordination.routed import Ending, RoutedRequest, Timer, Tools
+from filbertshelf.coordination.shard_call import (
     CLEANUP_S,
-    NO_TARGET_RETRY_S,
+    ShardCall,
+    refuse,
+    slowest,
 )
-from filbertshelf.coordination.routed import Ending, RoutedRequest, Timer, Tools
-from filbertshelf.coordination.shard_call import ShardCall, slowest
-from filbertshelf.protocol.dialect import refusal
 from filbertshelf.protocol.heads import Response
 from filbertshelf.state.answer_time import AnswerRule
 from filbertshelf.state.records import greatest_records
@@ -114,14 +113,12 @@
         )
         return Response(200, fields, body)
 
-    def _refuse(self) -> None:
+    def _refuse(self, timed_out: bool = False) -> None:
         """Say at once that the request fails, and truthfully whether any of it ran."""
-        if self._answered or any(c.may_have_run or c.running for c in self._calls):
-            self._finish(refusal(502), "unknown")
-            return
-        sent = any(call.sends for call in self._calls)
-        wait = BUSY_RETRY_S if sent else NO_TARGET_RETRY_S
-        self._finish(refusal(503, wait), "not run")
+        for call in self._calls:
+            call.stop()
+        refused = refuse(self._calls, timed_out)
+        self._finish(refused.response, refused.outcome)
 
     def _hedge_delay(self) -> float:
         return self._tools.hedge_timer(self._job.route).delay_s()
@@ -140,7 +137,7 @@
 
     def _timed_out(self) -> None:
         if not self._ended:
-            self._finish(refusal(504), "timed out")
+            self._refuse(timed_out=True)
 
     # The end.
 
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -6,13 +6,16 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+import attrs
+
 from filbertshelf import events
 from filbertshelf.coordination.listed_targets import (
     TargetEntry,
     verdict_without_response,
 )
 from filbertshelf.coordination.routed import RoutedRequest, Timer, Tools
-from filbertshelf.protocol.dialect import Verdict
+from filbertshelf.protocol.dialect import Verdict, refusal
+from filbertshelf.protocol.heads import Response
 from filbertshelf.state.hedging import BUDGET_RESERVE
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.routing import Repeat
@@ -27,6 +30,16 @@
 MIN_LEFT_S = 0.01
 """With less time left no target can answer."""
 
+NO_TARGET_RETRY_S = 0.5
+"""When to come back if no target is there; a crashed one is back after seconds."""
+
+BUSY_RETRY_S = 0.1
+"""When to come back if all targets refused; a place is free after one request."""
+
+CLEANUP_S = 0.25
+"""How long a target may still work on what nobody waits for; cutting it short would
+cost a new connection."""
+
 
 class Listener(Protocol):
     """Who waits for the answer."""
@@ -122,11 +135,15 @@
         return True
 
     def stop(self) -> None:
-        """Send nothing more; what runs may still end."""
+        """Send nothing more, also of what is queued; what runs may still end."""
         self.closed = True
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
+        for exchange, entry in list(self._running.items()):
+            if not exchange.written:
+                del self._running[exchange]
+                self._tools.targets.withdraw(entry, exchange)
         if self._running:
             self.may_have_run = True
 
@@ -268,6 +285,28 @@
             self._listener.failed(self)
 
 
+@attrs.frozen(eq=False)
+class Refusal:
+    """The response to a request without a usable answer, and the outcome to log."""
+
+    response: Response
+    outcome: str
+
+
+def refuse(calls: Sequence[ShardCall], timed_out: bool = False) -> Refusal:
+    """Return the refusal that is true of calls that have been stopped.
+
+    Only what no target can have run is said not to have run.
+    """
+    if any(call.answer is not None or call.may_have_run for call in calls):
+        if timed_out:
+            return Refusal(refusal(504), "timed out")
+        return Refusal(refusal(502), "unknown")
+    asked = any(call.sends for call in calls)
+    wait = BUSY_RETRY_S if asked else NO_TARGET_RETRY_S
+    return Refusal(refusal(503, wait), "not run")
+
+
 def slowest(calls: Sequence[ShardCall]) -> str:
     """Return which target answered last and after how long, for the log."""
     answered = [call for call in calls if call.answered_by]
--- a/test/coordination/test_forward.py
+++ b/test/coordination/test_forward.py
@@ -5,6 +5,7 @@
 import pytest
 
 from filbertshelf.state.routing import Repeat
+from filbertshelf.transport.http1.client import End
 from test.coordination.routed_world import World, single_route
 
 ONCE = single_route("desk", Repeat.ONCE)
@@ -117,3 +118,14 @@
     assert call.status == 503
     asked = [leaf.id for leaf in world.leafs.values() if leaf.arrivals]
     assert len(asked) <= SAFE.max_attempts
+
+
+@pytest.mark.parametrize("route", [ONCE, SAFE])
+def test_what_waited_for_a_connection_all_the_time_has_not_run(route):
+    # Guards against a 504 for a request that was never written, and against a target
+    # that gets it after the caller was told.
+    world = world_with("full")
+    call = ask(world, route, deadline_s=0.5)
+    assert (call.status, call.result.outcome) == (503, "not run")
+    assert float(call.header(b"Retry-After")) > 0
+    assert {exchange.end for exchange in world.leafs["t1"].held} == {End.CANCELLED}
