Check addresses in one place and all fields of an entry; drop dead names

Cause: IP:PORT was parsed in eight places with different rules; int() takes spaces, underscores and other digits. Half of a surrogate pair in an entry made every message to peers fail that carried it. Gone: ListedTargets.known, connections_opened, Pool.opened, HeaderNames.target_id; choosing refreshes only the targets that may be chosen.

--- a/filbertshelf/bench/routed_cost.py
+++ b/filbertshelf/bench/routed_cost.py
@@ -32,7 +32,6 @@
     stamp=b"Stamp",
     expected_target=b"Expect",
     not_run=b"Not-Run",
-    target_id=b"Target",
     part_stamps=b"Parts",
     missing_parts=b"Missing",
 )
@@ -127,10 +126,9 @@
     loop = asyncio.get_running_loop()
     targets = ListedTargets(cfg, clock, random.Random(1), loop.call_later)
     targets.set_fleet(1, 1, True)
-    text = "{}:{}".format(*address)
     for number in range(fan_out):
         listed = ListedTarget(
-            f"t{number}", f"s{number}", text, cfg.instance.data_centre, 2, False, 0
+            f"t{number}", f"s{number}", address, cfg.instance.data_centre, 2, False, 0
         )
         targets.apply([TargetChange(listed.id, number + 1, listed)])
     crashes = Crashes(clock)
--- a/filbertshelf/coordination/configuration.py
+++ b/filbertshelf/coordination/configuration.py
@@ -11,6 +11,7 @@
 import mode
 
 from filbertshelf import events
+from filbertshelf.addresses import Address, parse_address
 from filbertshelf.clock import Clock
 from filbertshelf.coordination.platform_watch import (
     FIRST_RETRY_S,
@@ -47,7 +48,7 @@
 from filbertshelf.settings import Settings
 from filbertshelf.state.backoff import Backoff
 from filbertshelf.state.documents import Version
-from filbertshelf.state.members import Address, ListedInstance, Member, Status
+from filbertshelf.state.members import ListedInstance, Member, Status
 from filbertshelf.state.publication import Publication
 from filbertshelf.state.readiness import Readiness
 from filbertshelf.state.watchers import choose_watchers
@@ -416,14 +417,9 @@
             ListedInstance(
                 row.name,
                 row.data_centre,
-                _split(row.address),
+                parse_address(row.address),
                 row.state is RowState.LEAVING,
             )
             for row in self.store.rows.values()
             if row.kind is RowKind.INSTANCE and row.name != self._cfg.name
         ]
-
-
-def _split(address: str) -> Address:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -46,7 +46,6 @@
     """What is needed of the connections to one target."""
 
     quota: int
-    opened: int
 
     def has_room(self) -> bool:
         """Return whether an exchange would start at once."""
@@ -86,6 +85,12 @@
         """Return what was observed of the target."""
         return self.candidate.state
 
+    def refreshed(self) -> Candidate:
+        """Return the candidate with what holds now."""
+        self.candidate.has_room = self.pool.has_room()
+        self.candidate.oldest_start = next(iter(self.running.values()), None)
+        return self.candidate
+
 
 @attrs.define(eq=False)
 class ServiceTargets:
@@ -197,11 +202,9 @@
 
     def _add(self, listed: ListedTarget) -> None:
         service = self._service(listed.service)
-        host, _, port = listed.address.rpartition(":")
-        pool = self._make_pool((host, int(port)), 1, self._clock)
-        target = Target(
-            listed.id, listed.address, listed.data_centre, {}, listed.slots, 0
-        )
+        address = "{}:{}".format(*listed.address)
+        pool = self._make_pool(listed.address, 1, self._clock)
+        target = Target(listed.id, address, listed.data_centre, {}, listed.slots, 0)
         state = TargetState(target, self._clock, self._rng)
         state.draining = listed.draining
         local = listed.data_centre == self._data_centre
@@ -209,7 +212,7 @@
         service.entries[listed.id] = entry
         self._entries[listed.id] = entry
         self._apply_limits(service)
-        events.emit(events.TARGET_ADDED, target=listed.id, address=listed.address)
+        events.emit(events.TARGET_ADDED, target=listed.id, address=address)
         if self._keeps_warm(service):
             self._warm_up(entry)
 
@@ -249,11 +252,6 @@
         """Return the budget for extra sub-requests to a service."""
         return self._service(service).budget
 
-    def known(self, service: str) -> bool:
-        """Return whether any target of the service is listed."""
-        found = self._services.get(service)
-        return found is not None and bool(found.entries)
-
     def choose(
         self,
         service: str,
@@ -268,12 +266,8 @@
         found = self._services.get(service)
         if found is None:
             return None
-        for entry in found.entries.values():
-            candidate = entry.candidate
-            candidate.has_room = entry.pool.has_room()
-            candidate.oldest_start = next(iter(entry.running.values()), None)
         candidates = [
-            entry.candidate
+            entry.refreshed()
             for id_, entry in found.entries.items()
             if only is None or id_ in only
         ]
@@ -320,10 +314,6 @@
         """Return the observations of all targets by id."""
         return {id_: entry.state for id_, entry in self._entries.items()}
 
-    def connections_opened(self) -> int:
-        """Return how many connections were opened to the targets listed now."""
-        return sum(entry.pool.opened for entry in self._entries.values())
-
     def close(self) -> None:
         """Close the connections of all targets."""
         for entry in self._entries.values():
--- a/filbertshelf/gateway_settings.py
+++ b/filbertshelf/gateway_settings.py
@@ -4,11 +4,10 @@
 
 import attrs
 
+from filbertshelf.addresses import Address
 from filbertshelf.settings import Settings
 from filbertshelf.state.retry_window import RetryPolicy
 
-Address = tuple[str, int]
-
 STOP_SERVE_S = 2.6
 """The platform asks each second and takes two misses for the end of readiness."""
 
--- a/filbertshelf/platform/entries.py
+++ b/filbertshelf/platform/entries.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import PlatformContentError
 from filbertshelf.state.directory import ListedTarget
 from filbertshelf.state.routing import (
@@ -52,18 +52,26 @@
     state = _text(doc, "state")
     if state not in _STATES:
         raise PlatformContentError(f"the state {state!r} is unknown")
+    _check_unused(doc)
     return ListedTarget(
         id_,
         _text(doc, "service"),
-        _address(_text(doc, "address")),
+        _address(doc),
         _text(doc, "zone"),
-        _optional(doc, "slots", _whole, 1),
+        _whole(doc, "slots"),
         state == DRAINING,
         # Absent on platforms whose targets never start again under the same id.
         _optional(doc, "born", _whole, 0),
     )
 
 
+def _check_unused(doc: dict[str, Any]) -> None:
+    """Check the fields that only tell whether a target wrote the entry."""
+    _text(doc, "version")
+    _number(doc, "coldRemainingMs")
+    _whole(doc, "seq")
+
+
 def _route(item: dict[str, Any]) -> Route:
     return Route(
         name=_text(item, "name"),
@@ -137,9 +145,20 @@
     value = doc.get(name)
     if not isinstance(value, str) or not value:
         raise PlatformContentError(f"{name} is not a text: {value!r:.80}")
+    if not is_unicode(value):
+        raise PlatformContentError(f"{name} has no UTF-8 form: {value!r:.80}")
     return value
 
 
+def is_unicode(text: str) -> bool:
+    """Return whether a text from JSON can be written again; half a pair can't."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _whole(doc: dict[str, Any], name: str) -> int:
     value = doc.get(name)
     if type(value) is not int or value < 0:
@@ -160,12 +179,9 @@
     return read(doc, name) if doc.get(name) is not None else default
 
 
-def _address(text: str) -> str:
-    host, _, port = text.rpartition(":")
+def _address(doc: dict[str, Any]) -> Address:
+    text = _text(doc, "address")
     try:
-        ipaddress.IPv4Address(host)
-        if 0 < int(port) < 65_536:
-            return text
+        return parse_address(text)
     except ValueError as exc:
-        raise PlatformContentError(f"{text!r:.80} is not IP:PORT") from exc
-    raise PlatformContentError(f"the port of {text!r:.80} is out of range")
+        raise PlatformContentError(f"{text!r:.80} is not IP:PORT: {exc}") from exc
--- a/filbertshelf/platform/names.py
+++ b/filbertshelf/platform/names.py
@@ -10,7 +10,6 @@
     stamp=b"Server-Stamp",
     expected_target=b"Expect-Instance",
     not_run=b"Not-Executed",
-    target_id=b"Instance-Id",
     part_stamps=b"Part-Stamps",
     missing_parts=b"Missing-Parts",
 )
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import tomllib
 from pathlib import Path
 from typing import Any
 
+from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import Problem, SettingsError
-from filbertshelf.gateway_settings import Address, GatewaySettings
+from filbertshelf.gateway_settings import GatewaySettings
 from filbertshelf.platform.names import METRICS_PORT
 from filbertshelf.settings import Settings
 from filbertshelf.state.delegation import shard_cost_us
@@ -128,9 +130,8 @@
 
     def _address(self, names: tuple[str, ...], value: object) -> Address:
         if isinstance(value, str):
-            host, _, port = value.rpartition(":")
-            if host and port.isdecimal() and int(port) < 65_536:
-                return host, int(port)
+            with contextlib.suppress(ValueError):
+                return parse_address(value, lowest_port=0)
         self._problem(names, value, "is not an address", "write IP:PORT")
         return "", 0
 
--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -16,7 +16,7 @@
     PlatformContentError,
     PlatformError,
 )
-from filbertshelf.platform.entries import decode_target
+from filbertshelf.platform.entries import decode_target, is_unicode
 from filbertshelf.platform.names import (
     CONFIG_KEY,
     EVERYTHING,
@@ -130,6 +130,7 @@
     return (
         isinstance(item, dict)
         and isinstance(item.get("key"), str)
+        and is_unicode(item["key"])
         and type(item.get("modRevision")) is int
     )
 
--- a/filbertshelf/protocol/dialect.py
+++ b/filbertshelf/protocol/dialect.py
@@ -24,8 +24,6 @@
     """The id of the only target that may run the request."""
     not_run: bytes
     """Present if the target did not run the request."""
-    target_id: bytes
-    """The id of the target that answers a health check or refuses a request."""
     part_stamps: bytes
     """The signatures of all shard answers in a merged answer."""
     missing_parts: bytes
--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from filbertshelf.addresses import parse_address
 from filbertshelf.protocol.messages import message
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
 from filbertshelf.state.news import ConfigText, News
@@ -34,7 +35,7 @@
             change.id,
             change.revision,
             found.service,
-            found.address,
+            "{}:{}".format(*found.address),
             found.data_centre,
             found.slots,
             found.draining,
@@ -48,7 +49,7 @@
         target = ListedTarget(
             self.id,
             self.service,
-            self.address,
+            parse_address(self.address),
             self.data_centre,
             self.slots,
             self.draining,
--- a/filbertshelf/protocol/platform.py
+++ b/filbertshelf/protocol/platform.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 import json
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
+from filbertshelf.addresses import parse_address
 from filbertshelf.errors import (
     PlatformContentError,
     PlatformTooLargeError,
@@ -155,18 +155,11 @@
     except ValueError as exc:
         raise PlatformContentError(str(exc)) from exc
     address = value.get("address")
-    if not isinstance(address, str) or not _is_address(address):
-        raise PlatformContentError(f"the address {address!r} is not IP:PORT")
+    try:
+        parse_address(str(address))
+    except ValueError as exc:
+        raise PlatformContentError(f"the address {address!r} is not IP:PORT") from exc
     data_centre = value.get("data_centre")
     if not isinstance(data_centre, str) or not data_centre:
         raise PlatformContentError("the data centre is missing")
     return Row(name, kind, address, data_centre, state)
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        return 0 < int(port) < 65_536
-    except ValueError:
-        return False
--- a/filbertshelf/settings.py
+++ b/filbertshelf/settings.py
@@ -4,33 +4,28 @@
 
 import configparser
 import hashlib
-import ipaddress
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import attrs
 
+from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import Problem, SettingsError
 
 MIN_KEY_CHARS = 16
 STRATEGIES = ("adaptive", "baseline")
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    number = int(port)
-    ipaddress.ip_address(host)
-    if not 0 <= number < 65_536:
-        raise ValueError("the port is out of range")
-    return host, number
+def _address(text: str) -> Address:
+    return parse_address(text, lowest_port=0)
 
 
-def _peers(text: str) -> tuple[tuple[str, int], ...]:
+def _peers(text: str) -> tuple[Address, ...]:
     return tuple(_address(part.strip()) for part in text.split(",") if part.strip())
 
 
-def _optional_address(text: str) -> tuple[str, int] | None:
+def _optional_address(text: str) -> Address | None:
     return _address(text) if text else None
 
 
--- a/filbertshelf/standins/target.py
+++ b/filbertshelf/standins/target.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 from mode import Service
 
+from filbertshelf.addresses import parse_address
 from filbertshelf.clock import Clock
 from filbertshelf.protocol import target as api
 from filbertshelf.standins.target_config import (
@@ -120,10 +121,9 @@
 
 
 def _bind(address: str) -> socket.socket:
-    host, _, port = address.rpartition(":")
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, int(port)))
+    sock.bind(parse_address(address, lowest_port=0))
     return sock
 
 
--- a/filbertshelf/standins/target_host.py
+++ b/filbertshelf/standins/target_host.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from mode import Service
 
+from filbertshelf.addresses import parse_address
 from filbertshelf.clock import Clock
 from filbertshelf.errors import StandinError, UserError
 from filbertshelf.standins.target import TargetStandin
@@ -107,8 +108,8 @@
         app.router.add_post("/admin/clear", self._clear)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        host, _, port = self.cfg.admin_listen.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        host, port = parse_address(self.cfg.admin_listen, lowest_port=0)
+        await web.TCPSite(self._runner, host, port).start()
         bound = self._runner.addresses[0]
         self.admin_address = f"{bound[0]}:{bound[1]}"
 
--- a/filbertshelf/state/directory.py
+++ b/filbertshelf/state/directory.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from filbertshelf.addresses import Address
+
 MAX_REMOVED = 4_096
 """Removals that are remembered so that a peer can be told what changed."""
 
@@ -16,7 +18,7 @@
 
     id: str
     service: str
-    address: str
+    address: Address
     data_centre: str
     slots: int
     draining: bool
--- a/filbertshelf/state/members.py
+++ b/filbertshelf/state/members.py
@@ -9,10 +9,9 @@
 
 import attrs
 
+from filbertshelf.addresses import Address
 from filbertshelf.clock import Clock
 
-Address = tuple[str, int]
-
 MAX_UPDATES = 8
 # SWIM reaches every member with high probability after a multiple of log2 n sends.
 RETRANSMIT_FACTOR = 3
--- a/filbertshelf/state/publication.py
+++ b/filbertshelf/state/publication.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from filbertshelf.addresses import parse_address
 from filbertshelf.errors import Problem, PublicationError, SelectorError
 from filbertshelf.state.labels import Labels, Selector
 
@@ -253,8 +254,7 @@
 
     def _address(self, where: str, table: Mapping[str, Any]) -> str:
         value = self._text(where, table, "address")
-        host, _, port = value.rpartition(":")
-        if value and not (host and port.isdecimal() and 0 < int(port) < 65_536):
+        if value and not _is_address(value):
             remedy = "write IP:PORT with a port from 1 to 65535"
             self._problem(f"{where}/address", value, "is not an address", remedy)
         return value
@@ -327,3 +327,11 @@
                         where = f"services/{service.name}/shards/{shard}"
                         remedy = "add the target or remove the replica"
                         self._problem(where, replica, "is not a target", remedy)
+
+
+def _is_address(text: str) -> bool:
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -231,7 +231,6 @@
     def __init__(self, address: tuple[str, int], quota: int, clock: Clock):
         self.address = address
         self.quota = quota
-        self.opened = 0
         self._clock = clock
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
@@ -350,7 +349,6 @@
         except (OSError, TimeoutError):
             self._connect_failed()
             return
-        self.opened += 1
         self._on_refused.clear()
         self._open.add(conn)
         self.idle(conn, DEFAULT_IDLE_S)
--- a/filbertshelf/transport/targets.py
+++ b/filbertshelf/transport/targets.py
@@ -12,6 +12,7 @@
 import attrs
 import mode
 
+from filbertshelf.addresses import parse_address
 from filbertshelf.clock import Clock
 from filbertshelf.errors import FilbertshelfError, RunStoppedError
 from filbertshelf.protocol import target as api
@@ -260,10 +261,10 @@
 
     async def _is_down(self) -> bool:
         """Return whether the target's address accepts no connection."""
-        host, _, port = self.address.rpartition(":")
+        host, port = parse_address(self.address)
         try:
             async with asyncio.timeout(DOWN_CHECK_TIMEOUT_S):
-                _reader, writer = await asyncio.open_connection(host, int(port))
+                _reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError):
             return True
         writer.close()
--- a/test/coordination/routed_world.py
+++ b/test/coordination/routed_world.py
@@ -35,7 +35,7 @@
 from filbertshelf.transport.http1.server import Request
 
 NAMES = HeaderNames(
-    b"Id", b"Left-Ms", b"Stamp", b"Expect", b"Not-Run", b"Target", b"Parts", b"Missing"
+    b"Id", b"Left-Ms", b"Stamp", b"Expect", b"Not-Run", b"Parts", b"Missing"
 )
 HERE = "here"
 ELSEWHERE = "elsewhere"
@@ -178,7 +178,7 @@
     def __init__(self, leaf: Leaf):
         self._leaf = leaf
         self.quota = 1
-        self.opened = 0
+        self.warmed = False
 
     def has_room(self) -> bool:
         """Return whether a connection is free."""
@@ -194,8 +194,8 @@
         exchange.finish(End.CANCELLED)
 
     def warm_up(self) -> None:
-        """Count a connection."""
-        self.opened += 1
+        """Note that a connection would be open."""
+        self.warmed = True
 
     def check_alive(self, on_dead: Callable[[], None]) -> None:
         """Tell whether the leaf has died."""
@@ -288,7 +288,7 @@
         leaf = Leaf(self, f"t{number}", service, **options)
         self.leafs[leaf.id] = leaf
         self._ports[number] = leaf
-        address = f"10.0.0.1:{number}"
+        address = ("10.0.0.1", number)
         listed = ListedTarget(
             leaf.id, service, address, data_centre, leaf.slots, False, 0
         )
--- a/test/coordination/test_feed.py
+++ b/test/coordination/test_feed.py
@@ -47,7 +47,7 @@
     def put(self, id_: str) -> None:
         """List a target."""
         self.revision += 1
-        target = ListedTarget(id_, "desk", "10.0.0.1:1", "here", 2, False, 0)
+        target = ListedTarget(id_, "desk", ("10.0.0.1", 1), "here", 2, False, 0)
         self.targets[id_] = TargetChange(id_, self.revision, target)
         self.log.append(self.targets[id_])
 
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -68,8 +68,10 @@
             "service": service,
             "address": "{}:{}".format(*self.server.address),
             "zone": "here",
+            "version": "v1",
             "slots": 2,
             "state": "ready",
+            "coldRemainingMs": 0,
             "seq": 1,
             "born": 1,
         }
--- a/test/platform/test_entries.py
+++ b/test/platform/test_entries.py
@@ -63,6 +63,22 @@
         decode_target("i-1", text({**ENTRY, name: value}))
 
 
+@pytest.mark.parametrize("name", ["service", "zone"])
+def test_an_entry_with_text_that_has_no_utf8_form_names_none(name):
+    # Guards against news that can't be sent to any peer, and against log lines that
+    # can't be written: JSON allows half of a surrogate pair.
+    with pytest.raises(PlatformContentError):
+        decode_target("i-1", text({**ENTRY, name: "half \ud800"}))
+
+
+@pytest.mark.parametrize("name", ["version", "coldRemainingMs", "seq"])
+@pytest.mark.parametrize("value", [[], {"a": 1}, None, True])
+def test_an_entry_with_a_broken_field_that_is_not_used_names_none(name, value):
+    # Guards against a target made from an entry that another writer left.
+    with pytest.raises(PlatformContentError):
+        decode_target("i-1", text({**ENTRY, name: value}))
+
+
 @pytest.mark.parametrize(
     "changes",
     [
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -91,7 +91,9 @@
     assert (await client.changes(before)).config is None
 
 
-@pytest.mark.parametrize("item", [{"value": ""}, "text", {"key": 7}])
+@pytest.mark.parametrize(
+    "item", [{"value": ""}, "text", {"key": 7}, {"key": "\ud800", "modRevision": 3}]
+)
 async def test_a_page_may_end_with_an_item_without_a_key(store, client, item):
     # Guards against a KeyError that ends the task which reads the store.
     store.items["servers/i-a"] = item
--- a/test/state/test_directory.py
+++ b/test/state/test_directory.py
@@ -14,7 +14,7 @@
 
 
 def target(id_: str, draining: bool = False) -> ListedTarget:
-    return ListedTarget(id_, "desk", "10.0.0.1:1", "here", 2, draining, 0)
+    return ListedTarget(id_, "desk", ("10.0.0.1", 1), "here", 2, draining, 0)
 
 
 def put(id_: str, revision: int, draining: bool = False) -> TargetChange:
