--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -101,6 +101,8 @@
     connections: int = DEFAULT_CONNECTIONS
     is_shard: bool = False
     """Whether queries over many shards use it."""
+    is_single: bool = False
+    """Whether requests that one target answers use it."""
     entries: dict[str, TargetEntry] = attrs.field(factory=dict)
 
 
@@ -147,9 +149,7 @@
         self._fleet, self._holders, self._holds = size, holders, holds
         for service in self._services.values():
             self._apply_limits(service)
-            if self._keeps_warm(service):
-                for entry in service.entries.values():
-                    self._warm_up(entry)
+            self._warm_up_all(service)
 
     def mesh_fits(self, table: RouteTable, size: int) -> bool:
         """Return whether each instance may connect to all targets of all shards."""
@@ -158,13 +158,18 @@
         return not caps or CONNECTION_SHARE * min(caps) >= size
 
     def apply_table(self, table: RouteTable) -> None:
-        """Take the connection limits of a new version of the configuration."""
+        """Take the limits and uses of services in a version of the configuration."""
         shards = _shards(table)
+        singles = _singles(table)
         for named in table.services.values():
             service = self._service(named.name)
+            was_warm = self._keeps_warm(service)
             service.connections = named.connections
             service.is_shard = named.name in shards
+            service.is_single = named.name in singles
             self._apply_limits(service)
+            if not was_warm:
+                self._warm_up_all(service)
 
     def apply(self, changes: Iterable[TargetChange]) -> None:
         """Add, replace and remove targets."""
@@ -225,8 +230,17 @@
         return service
 
     def _keeps_warm(self, service: ServiceTargets) -> bool:
-        """Return whether connections are opened before they are needed."""
-        return self._holds or not service.is_shard
+        """Return whether connections are opened before they are needed.
+
+        A service that no route uses yet may become a shard, which only the instances
+        that run queries over many shards connect to.
+        """
+        return self._holds or service.is_single
+
+    def _warm_up_all(self, service: ServiceTargets) -> None:
+        if self._keeps_warm(service):
+            for entry in service.entries.values():
+                self._warm_up(entry)
 
     def _warm_up(self, entry: TargetEntry) -> None:
         delay = self._rng.random() * WARM_UP_SPREAD_S
@@ -331,6 +345,11 @@
     return {name for route in routes for name in route.gather.shards}
 
 
+def _singles(table: RouteTable) -> set[str]:
+    """Return the services of which one target answers a request."""
+    return {share.service for route in table.routes() for share in route.shares}
+
+
 def _is_same_process(one: ListedTarget, two: ListedTarget) -> bool:
     return (one.address, one.service, one.started_ms) == (
         two.address,
--- a/test/coordination/routed_world.py
+++ b/test/coordination/routed_world.py
@@ -249,6 +249,7 @@
         self.time = VirtualTime(early_s)
         self.rng = random.Random(7)
         self.leafs: dict[str, Leaf] = {}
+        self.pools: dict[str, LeafPool] = {}
         self._ports: dict[int, Leaf] = {}
         self._ids = itertools.count(1)
         cfg = GatewaySettings(
@@ -268,7 +269,7 @@
             self.time,
             self.rng,
             self.time.call_later,
-            lambda address, quota, clock: LeafPool(self._ports[address[1]]),
+            lambda address, quota, clock: self._pool(address[1]),
         )
         self.targets.set_fleet(fleet, fleet, True)
         self.crashes = Crashes(self.time)
@@ -282,6 +283,11 @@
             self.crashes.died,
         )
 
+    def _pool(self, port: int) -> LeafPool:
+        leaf = self._ports[port]
+        self.pools[leaf.id] = LeafPool(leaf)
+        return self.pools[leaf.id]
+
     def add(self, service: str, data_centre: str = HERE, **options) -> Leaf:
         """Add a leaf of a service and list it."""
         number = len(self.leafs) + 1
