--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format bench
+.PHONY: setup demo test lint format soak bench
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -26,5 +26,12 @@
 test: $(STAMP)
 	$(VENV)/bin/python -m pytest -q
 
+# Plays soaks of real processes with faults: make soak FIRST=100 SEEDS=50
+FIRST ?= 1
+SEEDS ?= 50
+AT_ONCE ?= 3
+soak: $(STAMP)
+	$(VENV)/bin/python -m test.soak --first=$(FIRST) --seeds=$(SEEDS) --at_once=$(AT_ONCE)
+
 bench: $(STAMP)
 	$(VENV)/bin/filbertshelf bench
--- /dev/null
+++ b/test/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateways as processes, with faults from outside them."""
--- /dev/null
+++ b/test/soak/callers.py
@@ -0,0 +1,126 @@
+"""Callers on kept connections, which they use until the process is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+from test.soak.gateways import GatewayProcess
+from test.soak.ledger import Attempt, Ledger
+
+DEADLINE_S = {"all": 0.8, "one": 2.0, "book": 2.0, "move": 2.0}
+PATIENCE_S = 1.0
+"""How much longer than its deadline a caller reads, to see a late answer."""
+
+
+class Caller:
+    """Sends one request after the other, mostly on the same connection."""
+
+    _ids = itertools.count(1)
+
+    def __init__(self, ledger: Ledger, gateways: list[GatewayProcess], seed: int):
+        self._ledger = ledger
+        self._gateways = gateways
+        self._rng = random.Random(seed)
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._gateway: GatewayProcess | None = None
+        self._stopped = False
+
+    async def run(self) -> None:
+        """Send requests until `stop`, and end the last one."""
+        while not self._stopped:
+            await self._request(self._rng.choice(list(DEADLINE_S)))
+            await asyncio.sleep(self._rng.uniform(0.0, 0.15))
+        self._close()
+
+    def stop(self) -> None:
+        """Send no more requests."""
+        self._stopped = True
+
+    async def ask(self, gateway: GatewayProcess, route: str) -> Attempt:
+        """Send one request to a gateway on a new connection."""
+        self._close()
+        await self._connect(gateway)
+        attempt = await self._request(route)
+        self._close()
+        return attempt
+
+    async def _connect(self, gateway: GatewayProcess) -> None:
+        self._gateway = gateway
+        try:
+            async with asyncio.timeout(1.0):
+                self._reader, self._writer = await asyncio.open_connection(
+                    *gateway.entry
+                )
+        except (OSError, TimeoutError):
+            self._close()
+
+    def _pick(self) -> GatewayProcess:
+        usable = [gateway for gateway in self._gateways if gateway.in_rotation]
+        return self._rng.choice(usable or self._gateways)
+
+    async def _request(self, route: str) -> Attempt | None:
+        if self._writer is None or self._rng.random() < 0.05:
+            self._close()
+            await self._connect(self._pick())
+        if self._writer is None:
+            await asyncio.sleep(0.1)
+            return None
+        number = next(self._ids)
+        attempt = Attempt(
+            request_id=f"r{number:08x}",
+            method="POST" if route == "book" else "GET",
+            path=f"/{route}/{number}",
+            body=b"booking %d" % number if route == "book" else b"",
+            gateway=self._gateway.name,
+            boot=self._gateway.boot,
+            sent_at=self._ledger.now(),
+        )
+        self._ledger.attempts.append(attempt)
+        await self._exchange(attempt, DEADLINE_S[route])
+        attempt.ended_at = self._ledger.now()
+        return attempt
+
+    async def _exchange(self, attempt: Attempt, deadline_s: float) -> None:
+        head = (
+            f"{attempt.method} {attempt.path} HTTP/1.1\r\nHost: soak.example\r\n"
+            f"Request-Id: {attempt.request_id}\r\n"
+            f"Request-Deadline-Ms: {int(deadline_s * 1000)}\r\n"
+            f"Content-Length: {len(attempt.body)}\r\n\r\n"
+        )
+        try:
+            async with asyncio.timeout(deadline_s + PATIENCE_S):
+                self._writer.write(head.encode() + attempt.body)
+                keep = await self._read(attempt)
+        except TimeoutError:
+            attempt.reason = "no answer in time"
+            keep = False
+        except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
+            attempt.status = 0
+            attempt.reason = f"closed: {type(exc).__name__}"
+            keep = False
+        if not keep:
+            self._close()
+
+    async def _read(self, attempt: Attempt) -> bool:
+        """Read a whole response and return whether the connection stays open."""
+        lines = (await self._reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        fields = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(": ")
+            fields[name.lower()] = value
+        length = int(fields["content-length"])
+        attempt.answer = await self._reader.readexactly(length)
+        attempt.status = int(lines[0].split(" ")[1])
+        attempt.stamp = fields.get("server-stamp", "")
+        stamps = fields.get("part-stamps", "")
+        attempt.part_stamps = tuple(s.strip() for s in stamps.split(",") if s.strip())
+        attempt.missing_parts = int(fields.get("missing-parts", 0))
+        return fields.get("connection") != "close"
+
+    def _close(self) -> None:
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
--- /dev/null
+++ b/test/soak/gateways.py
@@ -0,0 +1,160 @@
+"""Gateways as processes of their own, and the signals they get."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from test.soak.proxy import Address, Proxy
+
+SETTINGS = """\
+node = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+seeds = [{seeds}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+[limits]
+cpuShare = 0.7
+cores = 1
+linkMbps = 350.0
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+budgetMinRetries = {slack}
+budgetWindowS = 10
+[platform]
+address = "{store}"
+"""
+MAX_WAIT_S = 10.0
+
+
+class GatewayProcess:
+    """One gateway; each start is a new boot."""
+
+    def __init__(self, name: str, ip: str, zone: str, folder: Path):
+        self.name = name
+        self.ip = ip
+        self.zone = zone
+        self.boot = 0
+        self.port = {kind: free_port(ip) for kind in ("front", "ready", "control")}
+        self.front = Proxy((ip, self.port["front"]))
+        self.store: Proxy | None = None
+        self.proxied = False
+        """Whether callers come through the proxy, which can disturb them."""
+        self.in_rotation = False
+        self.was_ready = False
+        """Whether this boot has been ready."""
+        self.bad_exits: list[int] = []
+        """The exit codes, other than 0, of stops that were asked for."""
+        self.expected_end = False
+        self.log_path = folder / f"{name}.log"
+        self._settings_path = folder / f"{name}.toml"
+        self._proc: asyncio.subprocess.Process | None = None
+
+    @property
+    def control(self) -> Address:
+        """Return where peers connect."""
+        return self.ip, self.port["control"]
+
+    @property
+    def entry(self) -> Address:
+        """Return where callers connect.
+
+        Without faults that is the gateway itself: a proxy accepts connections also
+        while the gateway is down, which would look like a lost request.
+        """
+        if self.proxied:
+            return self.front.address
+        return self.ip, self.port["front"]
+
+    def write_settings(self, seeds: list[Address], slack: int = 129) -> None:
+        """Write the settings file, maybe with another retry budget."""
+        text = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            zone=self.zone,
+            seeds=", ".join('"{}:{}"'.format(*seed) for seed in seeds),
+            store="{}:{}".format(*self.store.address),
+            slack=slack,
+            **self.port,
+        )
+        partial = self._settings_path.with_suffix(".new")
+        partial.write_text(text, encoding="utf-8")
+        partial.replace(self._settings_path)
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.boot += 1
+        self.was_ready = False
+        self.expected_end = False
+        env = {**os.environ, "FILBERTSHELF_SETTINGS": str(self._settings_path)}
+        with self.log_path.open("ab") as out:
+            self._proc = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "filbertshelf.platform",
+                env=env,
+                stdout=out,
+                stderr=out,
+            )
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._proc is not None and self._proc.returncode is None
+
+    def signal(self, signum: int) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.running:
+            self._proc.send_signal(signum)
+
+    async def ended(self) -> None:
+        """Wait for the end of the process; kill it some time after the grace."""
+        try:
+            async with asyncio.timeout(MAX_WAIT_S):
+                code = await self._proc.wait()
+        except TimeoutError:
+            self._proc.kill()
+            code = await self._proc.wait()
+        # A process that had not started yet may end by the signal itself.
+        allowed = {0} if self.was_ready else {0, -signal.SIGTERM}
+        if code not in allowed:
+            self.bad_exits.append(code)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.expected_end = True
+        if self.running:
+            # A stopped process takes the signal too.
+            self.signal(signal.SIGKILL)
+            await self._proc.wait()
+
+    async def is_ready(self) -> bool:
+        """Ask as the platform does."""
+        writer = None
+        try:
+            async with asyncio.timeout(0.5):
+                address = self.ip, self.port["ready"]
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n")
+                line = await reader.readline()
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.close()
+        return b" 200 " in line
+
+
+def free_port(ip: str) -> int:
+    """Return a port that nobody listens on now."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/test/soak/run.py
@@ -0,0 +1,99 @@
+"""One soak from a seed: planned work, then trouble, then the recovery."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import attrs
+
+from test.soak import plan
+from test.soak.callers import Caller
+from test.soak.checks import lost_in_planned_work, served_share, violations
+from test.soak.world import World
+
+CALLERS = 12
+APPLY_S = 3.0
+"""The time after which a version is in force, in seconds after its publication."""
+
+RECOVERY_S = 12.0
+"""The time after which the fleet serves again, in seconds after the last fault."""
+
+SETTLE_S = 6.0
+"""Planned work lasts so long: a stop takes the grace, a replaced target drains."""
+
+LAST_ANSWERS_S = 3.5
+"""The longest deadline of a caller, and its patience."""
+
+MIN_RECOVERED = 0.9
+"""The share that must be served once all is well; a caller may meet a busy target."""
+
+
+@attrs.frozen
+class Phases:
+    """How long the parts of a soak last, in seconds."""
+
+    planned_s: float = 8.0
+    trouble_s: float = 10.0
+    calm_s: float = 4.0
+
+
+async def soak(seed: int, folder: Path, phases: Phases) -> list[str]:
+    """Return what broke a promise."""
+    world = World(seed, folder)
+    ledger = world.ledger
+    found: list[str] = []
+    try:
+        await world.start()
+        start = ledger.now()
+        callers = [Caller(ledger, world.gateways, seed + n) for n in range(CALLERS)]
+        for caller in callers:
+            world.spawn(caller.run())
+        await plan.planned_work(world, start + phases.planned_s)
+        await asyncio.sleep(SETTLE_S)
+        found += lost_in_planned_work(ledger, start, ledger.now() - 3.0)
+        for gateway in world.gateways:
+            gateway.proxied = True
+        await plan.trouble(world, ledger.now() + phases.trouble_s)
+        found += await _recovery(world, phases.calm_s)
+        for caller in callers:
+            caller.stop()
+        await asyncio.sleep(LAST_ANSWERS_S)
+        found += violations(ledger)
+        found += _unexpected_ends(world)
+    finally:
+        await world.close()
+    return found
+
+
+async def _recovery(world: World, calm_s: float) -> list[str]:
+    """Return what is still wrong some seconds after the last fault."""
+    await asyncio.sleep(RECOVERY_S)
+    await world.publish()
+    await asyncio.sleep(APPLY_S)
+    newest = world.ledger.configs[-1]
+    found = []
+    for gateway in world.gateways:
+        caller = Caller(world.ledger, [gateway], 0)
+        attempt = await caller.ask(gateway, "move")
+        runs = world.ledger.runs.get(attempt.request_id, []) if attempt else []
+        if {run.service for run in runs} != {newest.moving}:
+            found.append(f"CONFIG {newest.version} is not in force: {attempt} {runs}")
+    since = world.ledger.now()
+    await asyncio.sleep(calm_s)
+    recent = [a for a in world.ledger.attempts if since <= a.sent_at and a.ended_at]
+    share = served_share(recent)
+    if not share >= MIN_RECOVERED:
+        found.append(f"RECOVER: {share:.3f} of {len(recent)} are served")
+    return found
+
+
+def _unexpected_ends(world: World) -> list[str]:
+    found = []
+    for gateway in world.gateways:
+        if not gateway.running and not gateway.expected_end:
+            found.append(f"FAULT {gateway.name} has ended by itself")
+        found += [f"FAULT {gateway.name} exit {code}" for code in gateway.bad_exits]
+        if b"Traceback" in gateway.log_path.read_bytes():
+            found.append(f"FAULT {gateway.name} has logged a traceback")
+    return found
--- /dev/null
+++ b/test/soak/targets.py
@@ -0,0 +1,130 @@
+"""Targets that answer as the platform's do, and fail when they are told to."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import random
+
+from filbertshelf.clock import SystemClock
+from filbertshelf.protocol.heads import Response, find
+from filbertshelf.state.routing import Limits
+from filbertshelf.transport.http1.server import HttpServer, Request
+from test.soak.ledger import Answer, Ledger, Run
+from test.soak.proxy import Proxy
+
+SLOTS = 2
+QUEUE = 6
+RECORDS = 8
+RECORD_BYTES = 16
+
+
+class Target:
+    """One target process: a server in the soak's process behind a proxy of its own."""
+
+    _ids = itertools.count(1)
+
+    def __init__(
+        self, service: str, zone: str, work_s: float, ledger: Ledger, rng: random.Random
+    ):
+        self.id = f"i-{next(self._ids):06x}"
+        self.service = service
+        self.zone = zone
+        self.work_s = work_s
+        self.slow_x = 1.0
+        self.failing = ""
+        """Empty, error: its own 500, lost: it runs and the answer is lost."""
+        self.state = "ready"
+        self.server = HttpServer(("127.0.0.1", 0), self, SystemClock())
+        self.proxy: Proxy | None = None
+        self._ledger = ledger
+        self._rng = rng
+        self._busy = 0
+        self._stamps = itertools.count(1)
+
+    async def start(self) -> None:
+        """Listen, behind a proxy."""
+        await self.server.start()
+        self.proxy = Proxy(self.server.address)
+        await self.proxy.start()
+
+    async def stop(self) -> None:
+        """End as a process does; connections are closed."""
+        self._ledger.ended_targets.add(self.id)
+        self.proxy.reset()
+        await self.proxy.stop()
+        await self.server.stop()
+
+    def entry(self) -> dict:
+        """Return what the target writes to the store."""
+        return {
+            "service": self.service,
+            "address": "{}:{}".format(*self.proxy.address),
+            "zone": self.zone,
+            "version": "v1",
+            "slots": SLOTS,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "seq": 1,
+            "born": 1_768_766_353_410,
+        }
+
+    # What the server calls.
+
+    def handle(self, req: Request) -> None:
+        """Refuse or run a request."""
+        if find(req.fields, b"expect-instance") != self.id.encode():
+            req.reply(Response(421, ((b"Not-Executed", b"1"),)))
+        elif self._busy >= SLOTS + QUEUE:
+            req.reply(Response(503, ((b"Not-Executed", b"1"),)))
+        else:
+            self._busy += 1
+            wait = self.work_s * self.slow_x * self._rng.uniform(0.6, 1.6)
+            queued = max(0, self._busy - SLOTS) * self.work_s
+            asyncio.get_running_loop().call_later(queued, self._begin, req, wait)
+
+    def limits(self) -> Limits:
+        """Return the limits."""
+        return Limits()
+
+    def rejected(self, status: int, reason: str) -> None:
+        """Ignore malformed requests."""
+
+    def _begin(self, req: Request, wait: float) -> None:
+        request_id = (find(req.fields, b"request-id") or b"").decode()
+        run = Run(
+            request_id,
+            self.id,
+            self.service,
+            req.method,
+            req.target,
+            req.body,
+            self._ledger.now(),
+        )
+        self._ledger.runs[request_id].append(run)
+        asyncio.get_running_loop().call_later(wait, self._finish, req, request_id)
+
+    def _finish(self, req: Request, request_id: str) -> None:
+        self._busy -= 1
+        if self.failing == "lost":
+            return
+        status = 500 if self.failing == "error" else 200
+        stamp = f"{self.id}.{next(self._stamps)}"
+        body = records(self.service, request_id)
+        self._ledger.answers[stamp] = Answer(
+            stamp, request_id, self.service, status, body
+        )
+        fields = (
+            (b"Server-Stamp", stamp.encode()),
+            (b"Request-Id", request_id.encode()),
+        )
+        req.reply(Response(status, fields, body))
+
+
+def records(service: str, request_id: str) -> bytes:
+    """Return the records that each target of a service has for a request."""
+    return b"".join(
+        hashlib.blake2b(f"{service} {request_id} {n}".encode(), digest_size=16).digest()
+        for n in range(RECORDS)
+    )
--- /dev/null
+++ b/test/soak/world.py
@@ -0,0 +1,235 @@
+"""The store, the targets and the gateways of one soak, and what may happen to them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+
+from test.platform.store_standin import StoreStandin
+from test.soak.checks import MAX_TARGETS, MIN_COVERAGE, TOP
+from test.soak.gateways import GatewayProcess
+from test.soak.ledger import Config, Ledger
+from test.soak.proxy import Proxy
+from test.soak.targets import Target
+
+ZONES = ("zone-a", "zone-b")
+SHARDS = 6
+DRAIN_S = 3.0
+"""How long a target serves on after the store knows that it drains."""
+
+MAX_CONNECTIONS = 60
+
+
+class World:
+    """Everything that one soak runs; `close` ends all that it started."""
+
+    def __init__(self, seed: int, folder: Path, gateways: int = 4):
+        self.rng = random.Random(seed)
+        self.ledger = Ledger()
+        self.store = StoreStandin(page_size=50)
+        self.store_server = self.store.server()
+        self.targets: list[Target] = []
+        self.gateways = [
+            GatewayProcess(
+                f"front-{n}", f"127.0.{1 + seed % 200}.{n + 1}", ZONES[n % 2], folder
+            )
+            for n in range(gateways)
+        ]
+        self.tasks: set[asyncio.Task] = set()
+        self._version = 0
+        self._shards = self._shard_names()
+
+    # Start and end.
+
+    async def start(self) -> None:
+        """Start everything and wait until all gateways are ready."""
+        await self.store_server.start()
+        for service in ("desk", *self._shards):
+            await self.add_targets(service)
+        await self.publish()
+        seeds = [gateway.control for gateway in self.gateways[:3]]
+        for gateway in self.gateways:
+            gateway.store = Proxy(self.store_server.address)
+            await gateway.store.start()
+            await gateway.front.start()
+            gateway.write_settings(seeds)
+            await gateway.start()
+        self.spawn(self._watch_ready())
+        async with asyncio.timeout(30.0):
+            while not all(gateway.in_rotation for gateway in self.gateways):
+                await asyncio.sleep(0.1)
+
+    async def close(self) -> None:
+        """End all processes, servers and tasks that were started."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for gateway in self.gateways:
+            await gateway.kill()
+            await gateway.front.stop()
+            await gateway.store.stop()
+        for target in self.targets:
+            await target.stop()
+        await self.store_server.stop()
+
+    def spawn(self, coro) -> None:
+        """Run something until the end of the soak."""
+        task = asyncio.create_task(coro)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _watch_ready(self) -> None:
+        misses = dict.fromkeys((g.name for g in self.gateways), 2)
+        while True:
+            for gateway in self.gateways:
+                ready = await gateway.is_ready()
+                gateway.was_ready |= ready
+                misses[gateway.name] = 0 if ready else misses[gateway.name] + 1
+                gateway.in_rotation = misses[gateway.name] < 2
+            await asyncio.sleep(0.5)
+
+    # Targets and versions.
+
+    async def add_targets(self, service: str, count: int = 2) -> None:
+        """Start targets of a service and list them."""
+        work_s = 0.02 if service.startswith("shard") else 0.05
+        for number in range(count):
+            zone = ZONES[number % 2]
+            target = Target(service, zone, work_s, self.ledger, self.rng)
+            await target.start()
+            self.targets.append(target)
+            self._list(target)
+
+    def _list(self, target: Target) -> None:
+        self.store.put(f"servers/{target.id}", target.entry())
+
+    async def replace(self, target: Target, tell: bool = True) -> None:
+        """Let another target take over, in planned work: start, drain, end."""
+        await self.add_targets(target.service, 1)
+        if tell:
+            target.state = "draining"
+            self._list(target)
+        else:
+            self.store.delete(f"servers/{target.id}")
+        await asyncio.sleep(DRAIN_S + 1.0)
+        await self.crash(target)
+
+    async def crash(self, target: Target) -> None:
+        """End a target at once; the store forgets it."""
+        if target in self.targets:
+            self.targets.remove(target)
+            await target.stop()
+            if f"servers/{target.id}" in self.store.items:
+                self.store.delete(f"servers/{target.id}")
+
+    async def publish(self) -> None:
+        """Write a version that moves one route to a service of its own."""
+        self._version += 1
+        moving = f"moving-{self._version}"
+        await self.add_targets(moving)
+        config = Config(self._version, moving, self._shards, self.ledger.now())
+        self.ledger.configs.append(config)
+        self.store.put("op/config", self._document(config))
+
+    async def reshard(self) -> None:
+        """Start the next set of shards and name it some seconds later."""
+        old = [target for target in self.targets if target.service in self._shards]
+        names = self._shard_names()
+        for service in names:
+            await self.add_targets(service)
+        await asyncio.sleep(2.0)
+        self._shards = names
+        await self.publish()
+        await asyncio.sleep(4.0)
+        for target in old:
+            target.state = "draining"
+            self._list(target)
+
+    def _shard_names(self) -> tuple[str, ...]:
+        return tuple(f"shard-{self._version}-{n}" for n in range(SHARDS))
+
+    def _document(self, config: Config) -> dict:
+        common = {
+            "host": "soak.example",
+            "targetLatencyMs": 150,
+            "maxAttempts": MAX_TARGETS,
+        }
+        single = {**common, "timeoutMs": 2000}
+        routes = [
+            {
+                **common,
+                "name": "all",
+                "prefix": "/all/",
+                "kind": "safe",
+                "timeoutMs": 800,
+                "gather": list(config.shards),
+                "topK": TOP,
+                "minCoverage": MIN_COVERAGE,
+            },
+            {
+                **single,
+                "name": "one",
+                "prefix": "/one/",
+                "kind": "safe",
+                "service": "desk",
+            },
+            {
+                **single,
+                "name": "book",
+                "prefix": "/book/",
+                "kind": "unsafe",
+                "service": "desk",
+            },
+            {
+                **single,
+                "name": "move",
+                "prefix": "/move/",
+                "kind": "safe",
+                "service": config.moving,
+            },
+        ]
+        names = ("desk", config.moving, *config.shards)
+        services = [
+            {"name": name, "healthPath": "/health", "maxConns": MAX_CONNECTIONS}
+            for name in names
+        ]
+        return {
+            "version": config.version,
+            "routes": routes,
+            "services": services,
+            "limits": {},
+        }
+
+    # Gateways.
+
+    async def restart(self, gateway: GatewayProcess) -> None:
+        """Stop a gateway as the platform does, and start it again."""
+        if not gateway.running or gateway.expected_end:
+            return
+        gateway.expected_end = True
+        gateway.signal(signal.SIGTERM)
+        await gateway.ended()
+        await gateway.start()
+
+    async def kill(self, gateway: GatewayProcess) -> None:
+        """Kill a gateway, and start it again after a short delay."""
+        if gateway.expected_end:
+            return
+        await gateway.kill()
+        await asyncio.sleep(0.5)
+        await gateway.start()
+
+    async def freeze(self, gateway: GatewayProcess, seconds: float) -> None:
+        """Let a gateway stand still."""
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.signal(signal.SIGCONT)
+
+    def reload(self, gateway: GatewayProcess) -> None:
+        """Change the settings file, mostly with a signal."""
+        seeds = [other.control for other in self.gateways[:3]]
+        gateway.write_settings(seeds, self.rng.choice((100, 129, 150)))
+        if self.rng.random() < 0.7:
+            gateway.signal(signal.SIGHUP)
