Learn from a connection lost at its next use how long a server keeps idle ones

Each such connection cost a request (a booking may not be sent again: 502) or a retry of the fleet's budget.

--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -12,6 +12,7 @@
 
 from filbertshelf.clock import Clock
 from filbertshelf.protocol.heads import Field
+from filbertshelf.state.idle_limit import IdleLimit
 from filbertshelf.transport.http1.sockets import prepare
 
 CONNECT_TIMEOUT_S = 1.0
@@ -53,6 +54,7 @@
     fields: list[Field] = attrs.field(factory=list)
     response_body: bytes = b""
     started_at: float = 0.0
+    written_at: float = 0.0
     connection: HttpConnection | None = None
 
     def finish(self, end: End) -> None:
@@ -76,6 +78,9 @@
         self._reusable = True
         self.exchange: Exchange | None = None
         self.idle_until = float("inf")
+        self.idle_since = 0.0
+        self.idle_s = 0.0
+        """How long it was idle before the exchange that runs."""
 
     # What asyncio calls.
 
@@ -111,8 +116,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange and leave the pool."""
-        self._pool.lost(self)
         exchange, self.exchange = self.exchange, None
+        self._pool.lost(self, exchange)
         if exchange is not None:
             exchange.finish(End.LOST)
 
@@ -165,9 +170,11 @@
 
     # What the pool calls.
 
-    def send(self, exchange: Exchange) -> None:
-        """Write a request."""
+    def send(self, exchange: Exchange, now: float) -> None:
+        """Write a request; `now` is in monotonic seconds."""
         self.exchange = exchange
+        self.idle_s = now - self.idle_since
+        exchange.written_at = now
         exchange.connection = self
         exchange.written = True
         self._complete = False
@@ -238,6 +245,7 @@
         self._waiting: collections.deque[Exchange] = collections.deque()
         self._closed = False
         self._on_refused: list[Callable[[], None]] = []
+        self._idle_limit = IdleLimit()
 
     @property
     def size(self) -> int:
@@ -255,13 +263,13 @@
 
     def submit(self, exchange: Exchange) -> None:
         """Start an exchange, or queue it until a connection is free."""
-        exchange.started_at = self._clock.monotonic()
+        now = exchange.started_at = self._clock.monotonic()
         if self._closed:
             exchange.finish(End.NOT_SENT)
             return
-        conn = self._take_idle()
+        conn = self._take_idle(now)
         if conn is not None:
-            conn.send(exchange)
+            conn.send(exchange, now)
             return
         self._waiting.append(exchange)
         if len(self._connecting) < len(self._waiting) and self.size < self.quota:
@@ -306,25 +314,30 @@
         if self._closed:
             conn.close()
             return
-        conn.idle_until = self._clock.monotonic() + seconds
+        now = conn.idle_since = self._clock.monotonic()
+        conn.idle_until = now + seconds
         if self._waiting:
-            conn.send(self._waiting.popleft())
+            conn.send(self._waiting.popleft(), now)
         else:
             self._idle.append(conn)
 
-    def lost(self, conn: HttpConnection) -> None:
-        """Forget a connection that has ended."""
+    def lost(self, conn: HttpConnection, exchange: Exchange | None) -> None:
+        """Forget a connection that has ended, maybe during an exchange."""
         self._open.discard(conn)
+        if exchange is not None and not exchange.status:
+            now = self._clock.monotonic()
+            self._idle_limit.lost(conn.idle_s, now - exchange.written_at, now)
         if conn in self._idle:
             self._idle.remove(conn)
         if self._waiting and not self._connecting and self.size < self.quota:
             self._connect()
 
-    def _take_idle(self) -> HttpConnection | None:
-        now = self._clock.monotonic()
+    def _take_idle(self, now: float) -> HttpConnection | None:
+        """Return the connection that was used last, if it can be used again."""
+        longest = self._idle_limit.seconds(now)
         while self._idle:
             conn = self._idle.pop()
-            if conn.usable(now):
+            if conn.usable(now) and now - conn.idle_since <= longest:
                 return conn
             conn.close()
         return None
--- a/test/transport/test_http_client.py
+++ b/test/transport/test_http_client.py
@@ -212,3 +212,29 @@
     assert (await waiting).end is End.NOT_SENT
     pool.cancel(running.exchange)
     assert (await running).end is End.CANCELLED
+
+
+async def test_connections_that_a_server_forgets_are_not_used_again(pool_of):
+    # Guards against each request that is lost on a connection which the server has
+    # dropped without notice (trouble idle_race): one is lost, then none.
+    class Forgetful(Server):
+        async def handle(self, reader, writer):
+            self.connections += 1
+            while True:
+                asked = asyncio.get_running_loop().time()
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    break
+                if asyncio.get_running_loop().time() - asked > 0.2:
+                    break
+                writer.write(ONE % 1)
+            writer.transport.abort()
+
+    pool = await pool_of(Forgetful())
+    ends = []
+    for _ in range(6):
+        ends.append((await run(pool)).end)
+        await asyncio.sleep(0.3)
+    assert ends.count(End.LOST) == 1
+    assert ends[2:] == [End.RESPONDED] * 4
