Divide limits by an estimate of the fleet one second after a start

Change: from 1 s on the limits are divided by 64, or by 1.3 times the members seen if that is more; the exact ones follow once the members are known, as before. The estimate is a class of its own, state/fleet_size.

--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -34,6 +33,7 @@
 from filbertshelf.settings import digest_of_settings
 from filbertshelf.state.crashes import Crashes
 from filbertshelf.state.delegation import Delegates
+from filbertshelf.state.fleet_size import FleetEstimate, FleetSize
 from filbertshelf.state.members import Identity
 from filbertshelf.state.pause import PauseGuard
 from filbertshelf.state.routing import Limits
@@ -43,11 +43,8 @@
 
 STDOUT = 1
 
-FLEET_GROWTH = 1.3
-"""The part by which more instances may run than were ever seen."""
-
-FLEET_KNOWN_S = 3.0
-"""The members are known once no new one was found for so long."""
+FLEET_CHECK_S = 1.0
+"""How often the members are counted."""
 
 PAUSE_S = 1.0
 """A process that did not run for so long takes what it knows for old."""
@@ -160,8 +157,7 @@
         )
         self._guard = PauseGuard(self.clock, PAUSE_S)
         self._stopping = False
-        self._most_members = 1
-        self._grown_at = self.clock.monotonic()
+        self._fleet_size = FleetSize(self.clock.monotonic())
         self._was_ready = False
         self.notices.subscribe(Topic.REQUEST_CRASHED, self._on_crash_notice)
         self._add_gauges()
@@ -260,20 +256,17 @@
     async def _watch_fleet(self) -> None:
         """Keep the shares of limits in line with the size of the fleet."""
         while not self.should_stop:
-            await self.clock.sleep(1.0)
+            await self.clock.sleep(FLEET_CHECK_S)
             now = self.clock.monotonic()
-            members = self.membership.size_seen()
-            if members > self._most_members:
-                self._most_members = members
-                self._grown_at = now
-            if now - self._grown_at >= FLEET_KNOWN_S:
-                self._apply_fleet(math.ceil(FLEET_GROWTH * self._most_members))
+            estimate = self._fleet_size.seen(self.membership.size_seen(), now)
+            if estimate is not None:
+                self._apply_fleet(estimate)
             self._note_ready()
 
-    def _apply_fleet(self, size: int) -> None:
+    def _apply_fleet(self, fleet: FleetEstimate) -> None:
         """Choose who runs queries over many shards, and divide the limits."""
         table = self.feed.table
-        mesh = table is None or self.targets.mesh_fits(table, size)
+        mesh = table is None or self.targets.mesh_fits(table, fleet.size)
         delegates = Delegates.choose(self.membership.members(), self.membership.own)
         held = self.delegation.delegates
         if (delegates, mesh) != (held, self.delegation.mesh):
@@ -286,8 +279,10 @@
             )
         self.delegation.delegates = delegates
         self.delegation.mesh = mesh
-        holders = size if mesh else delegates.holders()
-        self.targets.set_fleet(size, holders, mesh or delegates.own)
+        # Instances that know few members may take others for delegates.
+        all_hold = mesh or not fleet.known
+        holders = fleet.divisor if all_hold else delegates.holders()
+        self.targets.set_fleet(fleet.divisor, holders, mesh or delegates.own)
 
     def _note_ready(self) -> None:
         ready = self.ready()
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -13,6 +13,7 @@
 from filbertshelf.gateway_settings import Address, GatewaySettings
 from filbertshelf.protocol.dialect import Verdict
 from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.fleet_size import UNKNOWN_FLEET
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.publication import Target
 from filbertshelf.state.replicas import TargetState
@@ -30,9 +31,6 @@
 WARM_UP_SPREAD_S = 1.0
 """New targets are connected to within this time, not by all instances at once."""
 
-UNKNOWN_FLEET = 64
-"""The size of the fleet that limits are divided by until the members are known."""
-
 _REASONS: Mapping[End, tuple[Result, Reason]] = {
     End.NOT_CONNECTED: (Result.NOT_RUN, Reason.CONNECT_FAILED),
     End.NOT_SENT: (Result.NOT_RUN, Reason.NO_CAPACITY),
