--- a/filbertshelf/transport/peers.py
+++ b/filbertshelf/transport/peers.py
@@ -6,7 +6,7 @@
 import collections
 import contextlib
 import itertools
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 import mode
@@ -27,15 +27,14 @@
 from filbertshelf.protocol.messages import (
     VERSIONS,
     BodyError,
-    Envelope,
     Kind,
     UnknownMessage,
     encode,
-    name_of,
 )
 from filbertshelf.protocol.replies import Done, Failed
 from filbertshelf.settings import Settings
 from filbertshelf.state.members import Address, Identity
+from filbertshelf.transport.frame_handlers import FrameHandlers, Handler
 from filbertshelf.transport.handshake import Credentials, Sender, accept, introduce
 from filbertshelf.transport.link import (
     CLOSE_TIMEOUT,
@@ -63,9 +62,6 @@
 MAX_RUNNING = 256
 
 _POLICY_VIOLATION = 1008
-_MESSAGE_TOO_BIG = 1009
-
-Handler = Callable[[Sender, Any], Awaitable[Any]]
 
 
 class Peers(mode.Service):
@@ -92,7 +88,9 @@
         self.address: Address = cfg.peer_listen
         self.blocked: set[Address] = set()
         self.counts = PeerCounts()
-        self._handlers: dict[type, Handler] = {}
+        self._frames = FrameHandlers(
+            identity.id, self.counts, self.blocked, lambda: self.should_stop
+        )
         self._links: collections.OrderedDict[Address, Link] = collections.OrderedDict()
         self._dials: dict[Address, asyncio.Task[Link]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -106,8 +104,7 @@
 
         Raises `MessageError` if the class is not a registered message.
         """
-        name_of(message_class)
-        self._handlers[message_class] = handler
+        self._frames.register(message_class, handler)
 
     async def request(self, address: Address, msg: Any, timeout: float) -> Any:
         """Send a message and return the reply, None if the handler returned None.
@@ -273,7 +270,7 @@
                 if link.address not in self.blocked:
                     self._take_reply(link, data)
         except ConnectionClosed as exc:
-            self._note_oversize(where, exc)
+            self._frames.note_oversize(where, exc)
         finally:
             link.closing = True
             if self._links.get(link.address) is link:
@@ -285,14 +282,14 @@
         try:
             envelope = decode_frame(data)
         except BodyError as exc:
-            self._note_malformed(where, exc)
+            self._frames.note_malformed(where, exc)
             link.resolve(exc.correlation, Failed("the reply is malformed"))
         except MessageError as exc:
-            self._note_malformed(where, exc)
+            self._frames.note_malformed(where, exc)
         else:
             reply = envelope.message
             if isinstance(reply, UnknownMessage):
-                self._note_unknown(where, reply.name)
+                self._frames.note_unknown(where, reply.name)
                 reply = Failed(f"the reply has the unknown type {reply.name!r:.80}")
             link.resolve(envelope.correlation, reply)
 
@@ -333,75 +330,11 @@
                 if sender.address in self.blocked:
                     continue
                 await gate.acquire()
-                work = self._handle(ws, sender, data)
+                work = self._frames.handle(ws, sender, data)
                 task = self._spawn(work, self._running)
                 task.add_done_callback(lambda _: gate.release())
         except ConnectionClosed as exc:
-            self._note_oversize(sender.id, exc)
-
-    async def _handle(
-        self, ws: ServerConnection, sender: Sender, data: bytes | str
-    ) -> None:
-        """Process one frame; nothing that it raises reaches the connection."""
-        try:
-            envelope = decode_frame(data)
-        except BodyError as exc:
-            self._note_malformed(sender.id, exc)
-            if exc.kind is Kind.REQUEST:
-                failed = Failed("the message is malformed")
-                await self._reply(ws, sender, failed, exc.correlation)
-            return
-        except MessageError as exc:
-            self._note_malformed(sender.id, exc)
-            return
-        reply = await self._run(sender, envelope)
-        if envelope.kind is Kind.REQUEST:
-            await self._reply(ws, sender, reply, envelope.correlation)
-
-    async def _run(self, sender: Sender, envelope: Envelope) -> Any:
-        msg = envelope.message
-        if self.should_stop:
-            return Failed("the instance is stopping")
-        if isinstance(msg, UnknownMessage):
-            self._note_unknown(sender.id, msg.name)
-            return Failed(f"the message type {msg.name!r:.80} is unknown")
-        name = name_of(type(msg))
-        handler = self._handlers.get(type(msg))
-        if handler is None:
-            self._note_unknown(sender.id, name)
-            return Failed(f"the message type {name!r} has no handler")
-        try:
-            reply = await handler(sender, msg)
-        except Exception as exc:
-            # A fault in one handler must not end the connection of a peer.
-            self.counts.failed += 1
-            events.emit(
-                events.PEER_HANDLER_FAILED,
-                peer=sender.id,
-                message=name,
-                reason=f"{exc!r:.200}",
-            )
-            return Failed(f"the handler of {name!r} failed")
-        return Done() if reply is None else reply
-
-    async def _reply(
-        self, ws: ServerConnection, sender: Sender, reply: Any, correlation: int
-    ) -> None:
-        if sender.address in self.blocked:
-            return
-        try:
-            frame = encode_frame(reply, correlation, Kind.REPLY)
-        except MessageError as exc:
-            self._note_malformed(self.identity.id, exc)
-            failed = Failed("the reply can't be sent")
-            frame = encode(failed, correlation, Kind.REPLY)
-        if clogged(ws):
-            # The peer sends requests but doesn't read the replies.
-            ws.transport.abort()
-            return
-        with contextlib.suppress(ConnectionClosed):
-            self.counts.frames_sent += 1
-            await ws.send(frame)
+            self._frames.note_oversize(sender.id, exc)
 
     # Life of the service.
 
@@ -465,15 +398,3 @@
             direction=direction,
             reason=str(reason),
         )
-
-    def _note_malformed(self, peer: str, exc: object) -> None:
-        self.counts.malformed += 1
-        events.emit(events.FRAME_MALFORMED, peer=peer, reason=str(exc))
-
-    def _note_unknown(self, peer: str, name: str) -> None:
-        self.counts.unknown += 1
-        events.emit(events.MESSAGE_UNKNOWN, peer=peer, message=name[:80])
-
-    def _note_oversize(self, peer: str, exc: ConnectionClosed) -> None:
-        if exc.sent is not None and exc.sent.code == _MESSAGE_TOO_BIG:
-            self._note_malformed(peer, f"the frame is over {MAX_FRAME_BYTES} bytes")
