Allow refusals for overload in the test of hedges that both answer

The test was wrong: it sends 500 queries a second and took each of them for answered. A refusal is true there, and has no rows to stand twice. Now refusals must be for overload and without rows, and less than half of the queries; each other answer is checked as before.

--- a/test/promises/test_snapshot.py
+++ b/test/promises/test_snapshot.py
@@ -118,7 +118,15 @@
 async def test_hedges_that_both_answer_count_once(fleet):
     # Guards against the rows of one shard that stand twice in an answer.
     await fleet.start(target_options={"sigma": 1.5, "service_ms": 4.0})
-    for answer in await query_steadily(fleet, 150, 0.002):
+    answers = await query_steadily(fleet, 150, 0.002)
+    # The instance may refuse a part of 500 queries a second on a busy machine.
+    refused = [answer for answer in answers if answer["outcome"] == "not_run"]
+    assert {answer["code"] for answer in refused} <= {"overloaded"}
+    assert not any(answer.get("rows") for answer in refused)
+    assert len(refused) < len(answers) / 2
+    for answer in answers:
+        if answer in refused:
+            continue
         check_answer(answer)
         ids = [row["id"] for row in answer["rows"]]
         assert len(ids) == len(set(ids))
