--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -61,8 +61,8 @@
 """The bounds of the wait after a call that failed, in a small fleet."""
 
 RETRY_PER_MEMBER_S = 0.03
-"""In a large fleet the wait grows with it: about 30 calls a second find the platform
-back soon enough, and who finds it tells the others."""
+"""In a large fleet the wait grows with it: some dozens of calls a second find the
+platform back soon enough, and who finds it tells the others."""
 
 MAX_RETRY_S = 3.0
 """The longest wait: an instance may be cut off from all others."""
