--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -13,18 +13,27 @@
 SEEDS = (1, 2)
 """Those of the short run; `make soak` plays others by hand."""
 
-REGRESSIONS: dict[int, str] = {}
-"""Seeds that failed once, each with the cause."""
+REGRESSIONS = {
+    4: "requests through a proxy to a gateway that was down counted as lost",
+    5: "a SIGTERM before the start had ended counted as a bad exit",
+    8: "one request through a proxy to a gateway that was down counted as lost",
+    10: "the same as 4, on another gateway",
+}
+"""Seeds that failed once, each with the cause; all of the soak's own so far."""
+
+AT_ONCE = 3
 
 
 @pytest.mark.timeout(300)
 async def test_a_short_soak_keeps_the_promises(tmp_path):
     found = {}
+    gate = asyncio.Semaphore(AT_ONCE)
 
     async def play(seed: int) -> None:
         folder = tmp_path / str(seed)
         folder.mkdir()
-        found[seed] = await soak(seed, folder, SHORT)
+        async with gate:
+            found[seed] = await soak(seed, folder, SHORT)
 
     await asyncio.gather(*(play(seed) for seed in (*SEEDS, *REGRESSIONS)))
     assert found == {seed: [] for seed in found}
