Give each soak addresses of its own

A gateway's metrics have a fixed port and the addresses came from the seed alone, so two runs of the same seeds met. Now the process id is part of the address; a soak that fails at its start also closes what it has not started.

--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -53,8 +53,9 @@
             writer.transport.abort()
 
     async def stop(self) -> None:
-        """Close everything."""
-        self._server.close()
+        """Close everything; one that has not started stays closed."""
+        if self._server is not None:
+            self._server.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 from pathlib import Path
@@ -37,7 +38,7 @@
         self.targets: list[Target] = []
         self.gateways = [
             GatewayProcess(
-                f"front-{n}", f"127.0.{1 + seed % 200}.{n + 1}", ZONES[n % 2], folder
+                f"front-{n}", f"{_network(seed)}.{n + 1}", ZONES[n % 2], folder
             )
             for n in range(gateways)
         ]
@@ -74,7 +75,8 @@
         for gateway in self.gateways:
             await gateway.kill()
             await gateway.front.stop()
-            await gateway.store.stop()
+            if gateway.store is not None:
+                await gateway.store.stop()
         for target in self.targets:
             await target.stop()
         await self.store_server.stop()
@@ -239,3 +241,12 @@
         early = gateway.age_s < INTERPRETER_START_S and not self.early_reloads
         if self.rng.random() < 0.7 and not early:
             gateway.signal(signal.SIGHUP)
+
+
+def _network(seed: int) -> str:
+    """Return the first three bytes of addresses that no other soak uses.
+
+    A gateway's metrics have a fixed port, so two soaks, also of one seed in two test
+    runs, must not share addresses.
+    """
+    return f"127.{1 + os.getpid() % 250}.{1 + seed % 250}"
