Close connections that open while an instance stops

Cause: Peers.on_stop listed the connections to close while a connect could still finish. Change: connects in progress are cancelled before the connections are listed.

--- a/filbertshelf/transport/peers.py
+++ b/filbertshelf/transport/peers.py
@@ -381,6 +381,9 @@
         for task in self._running:
             task.cancel()
         self._closed = True
+        # A connection that opened after the others are listed would stay open, and
+        # the peer's own stop would wait for it.
+        await _cancel_all(self._dials.values())
         links = list(self._links.values())
         for link in links:
             link.closing = True
@@ -389,10 +392,7 @@
             close_connection(ws) for ws in incoming
         ]
         await asyncio.gather(*closing)
-        remaining = list(self._tasks | self._running)
-        for task in remaining:
-            task.cancel()
-        await asyncio.gather(*remaining, return_exceptions=True)
+        await _cancel_all(self._tasks | self._running)
         await self._server.wait_closed()
 
     def _credentials(self) -> Credentials:
@@ -415,3 +415,10 @@
             direction=direction,
             reason=str(reason),
         )
+
+
+async def _cancel_all(tasks: Iterable[asyncio.Task[Any]]) -> None:
+    cancelled = list(tasks)
+    for task in cancelled:
+        task.cancel()
+    await asyncio.gather(*cancelled, return_exceptions=True)
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -24,26 +24,7 @@
     cause: str
 
 
-KNOWN_RED = (
-    KnownRed(
-        "test/coordination/test_membership.py::",
-        "teardown",
-        "from pytest-timeout",
-        "two instances that stop together wait for each other",
-    ),
-    KnownRed(
-        "test/state/test_quarantine.py::TestQuarantine::",
-        "call",
-        "where False = all(<generator object QuarantineMachine._start",
-        "a query that is quarantined while it runs is not isolated",
-    ),
-    KnownRed(
-        "test/state/test_quarantine.py::test_no_request_joins_a_query_that_is_quarant",
-        "call",
-        "may_start",
-        "a query that is quarantined while it runs is not isolated",
-    ),
-)
+KNOWN_RED: tuple[KnownRed, ...] = ()
 
 
 @pytest.hookimpl(wrapper=True)
--- a/test/transport/test_peers.py
+++ b/test/transport/test_peers.py
@@ -27,6 +27,7 @@
     Refused,
 )
 from filbertshelf.protocol.messages import Kind, decode, encode, message
+from filbertshelf.transport.handshake import accept_handshake
 from filbertshelf.transport.peer_link import MAX_FRAME_BYTES, MAX_UNSENT_BYTES
 from filbertshelf.transport.peers import MAX_IDLE_LINKS, Sender
 
@@ -350,3 +351,36 @@
     await stopping
     with pytest.raises(PeerUnreachableError):
         await client.request(server.address, Echo(3), 1.0)
+
+
+async def test_stop_closes_a_connection_that_is_being_opened(start_peers):
+    # Guards against two instances that stop at the same moment and wait for each
+    # other without end: the connection opened after the others had been listed.
+    client, slow_to_close = await start_peers("a"), await start_peers("b")
+    host = await start_peers("c")
+    dialling, may_finish, closed = (asyncio.Event() for _ in range(3))
+
+    async def finish_handshake_late(ws):
+        dialling.set()
+        await may_finish.wait()
+        with contextlib.suppress(ConnectionClosed):
+            await accept_handshake(ws, host._credentials(), set())
+        await ws.wait_closed()
+        closed.set()
+
+    slow_to_close.register(Echo, echo)
+    await client.request(slow_to_close.address, Echo(0), 1.0)
+    for ws in slow_to_close._server.connections:
+        ws.transport.pause_reading()
+    async with serve(finish_handshake_late, "127.0.0.1", 0) as server:
+        address = server.sockets[0].getsockname()[:2]
+        request = asyncio.ensure_future(client.request(address, Echo(1), 5.0))
+        await dialling.wait()
+        stopping = asyncio.ensure_future(client.stop())
+        await until(lambda: client._closed)
+        may_finish.set()
+        await stopping
+        async with asyncio.timeout(1.0):
+            await closed.wait()
+        with pytest.raises(PeerUnreachableError):
+            await request
