Isolate a query that becomes a suspect while it runs

Cause: may_start refused a target only if a suspect had started there in isolation. A notice, or the death of another target, makes a query a suspect while it runs; others could then join it and die with it. Change: a target that runs a suspect takes no further request.

--- a/filbertshelf/state/quarantine.py
+++ b/filbertshelf/state/quarantine.py
@@ -161,6 +161,8 @@
         """
         if target in self._isolated or target in self._lost:
             return False
+        if self._runs_suspect(target):
+            return False
         verdict = self.verdict(fingerprint)
         if verdict is Verdict.CLEAR:
             return True
@@ -284,6 +286,13 @@
         self._suspects[fingerprint] = self._clock.monotonic() + SUSPICION_S
         _trim(self._suspects, MAX_SUSPECTS)
 
+    def _runs_suspect(self, target: str) -> bool:
+        """Return whether a request on the target became a suspect after its start."""
+        if not self._suspects:
+            return False
+        running = self._running.get(target, ())
+        return any(self._is_unexpired(self._suspects, other) for other in running)
+
     def _clear(self, fingerprint: str) -> None:
         if self._suspects:
             self._suspects.pop(fingerprint, None)
--- a/test/state/test_quarantine.py
+++ b/test/state/test_quarantine.py
@@ -118,7 +118,7 @@
 
 def test_no_request_joins_a_query_that_is_quarantined_while_it_runs():
     # Guards against an innocent request that dies with a query on its target, after
-    # another instance has reported that the query crashes targets (KNOWN-RED.txt).
+    # another instance has reported that the query crashes targets.
     q = make_quarantine()
     q.attempt_started("t1", "p")
     q.quarantine("p", 0.0)
