Make the test of the log pipe independent of earlier tests

It failed when test/transport ran first: eliot passes what earlier tests logged to its first destination, which was the pipe of the test (3 lines more than expected). The fixture takes these messages now; the assertions are unchanged.

--- a/test/transport/test_log_pipe.py
+++ b/test/transport/test_log_pipe.py
@@ -16,8 +16,12 @@
 
 
 @pytest.fixture
-def pipe():
-    """Return the read end and the write end of a small pipe."""
+def pipe(log):
+    """Return the read end and the write end of a small pipe.
+
+    `log` receives what earlier tests logged, which eliot passes to its first
+    destination.
+    """
     reading, writing = os.pipe()
     fcntl.fcntl(writing, F_SETPIPE_SZ, 4_096)
     yield reading, writing
