Bound what a target, a peer, the store or a caller may send

Cause: only the body of a response was bounded (8 MiB). A caller's head was bounded only while no earlier request of it ran, and its trailers never. Change: bounds on the head, header lines, interim responses, framing and the body of a response, a smaller one for a shard's answer, and one for all unfinished responses, above which the largest ends. Past a bound the exchange is malformed, its connection is aborted, the target is judged by it, event 215 names the bound, and another target is asked where that is allowed. Long shard answers are kept only as their greatest records. The same for peers' handshakes, callers' requests and the store's pages; a nested answer of the store no longer ends the task that reads it; a deadline of 400 digits is a long one instead of an OverflowError.

--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -20,10 +20,14 @@
 from filbertshelf.protocol.http_messages import Response
 from filbertshelf.state.answer_time import AnswerRule
 from filbertshelf.state.records import greatest_records
+from filbertshelf.transport.http1.client import Exchange
 
 MAX_LOGGED_MISSING = 8
 """Maximum number of missing shards in the log line of a request."""
 
+MAX_KEPT_PART_BYTES = 4 * 1024
+"""Answers longer than this are cut to their greatest records while others come."""
+
 HEDGE_ROUNDS = 3
 """Hedging rounds for outstanding shards; the first may find no retry budget left."""
 
@@ -85,10 +89,18 @@
 
     def on_answered(self, call: ShardCall) -> None:
         """Record that a shard has answered."""
+        self._trim(call.answer)
         self._answered += 1
         self._outstanding -= 1
         self._check_answers()
 
+    def _trim(self, answer: Exchange) -> None:
+        """Drop the records of a long answer that can't be in the merged one."""
+        if len(answer.response_body) > MAX_KEPT_PART_BYTES:
+            answer.response_body = greatest_records(
+                [answer.response_body], self._request.route.gather.top_k
+            )
+
     def on_failed(self, call: ShardCall) -> None:
         """Record that a shard is missing."""
         self._outstanding -= 1
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -21,6 +21,7 @@
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.selection import Candidate, choose_cheapest
 from filbertshelf.transport.http1.client import ConnectionPool, Exchange, ExchangeEnd
+from filbertshelf.transport.http1.response_bounds import HeldBytes
 
 CONNECTION_SHARE = 0.9
 """The fraction of a target's connections that is used; a busy target accepts fewer."""
@@ -114,10 +115,11 @@
         clock: Clock,
         rng: random.Random,
         call_later: Callable[[float, Callable[[], None]], object],
-        make_pool: Callable[[Address, int, Clock], Pool] = ConnectionPool,
+        make_pool: Callable[[Address, int, Clock, HeldBytes], Pool] = ConnectionPool,
     ):
         """Create without targets; `call_later(seconds, func)` schedules a call."""
         self._make_pool = make_pool
+        self._held_bytes = HeldBytes()
         self._data_centre = cfg.instance.data_centre
         self._retries = cfg.retries
         self._clock = clock
@@ -220,7 +222,7 @@
     def _add(self, listed: ListedTarget) -> None:
         service = self._service_targets(listed.service)
         address = "{}:{}".format(*listed.address)
-        pool = self._make_pool(listed.address, 1, self._clock)
+        pool = self._make_pool(listed.address, 1, self._clock, self._held_bytes)
         target = Target(listed.id, address, listed.data_centre, {}, listed.slots, 0)
         state = TargetState(target, self._clock, self._rng)
         state.draining = listed.draining
--- a/filbertshelf/coordination/routed_request.py
+++ b/filbertshelf/coordination/routed_request.py
@@ -21,11 +21,15 @@
 from filbertshelf.state.hedging import HedgeDelay
 from filbertshelf.state.log_limit import LogRateLimit, RequestLogLimit
 from filbertshelf.state.routing import Route, RouteTable
+from filbertshelf.transport.http1.response_bounds import MAX_BODY_BYTES
 from filbertshelf.transport.http1.server import Request
 
 RETURN_MARGIN_S = 0.015
 """Network time of a request to the gateway and of the answer back to the caller."""
 
+MAX_PART_BYTES = 128 * 1024
+"""Maximum length of one shard's answer; a query receives one from each shard."""
+
 MAX_HEDGE_DELAYS = 1_024
 """Maximum number of routes with latency statistics; one more resets all of them."""
 
@@ -117,6 +121,11 @@
         """Return how many targets of each shard this instance may ask at most."""
         return self.route.max_attempts - self.withheld_targets
 
+    @property
+    def max_response_bytes(self) -> int:
+        """Return how long the body of a target's response may be."""
+        return MAX_BODY_BYTES if self.route.gather is None else MAX_PART_BYTES
+
     @property
     def text_id(self) -> str:
         """Return the request id as text for the log."""
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -38,6 +38,8 @@
 """Retry-After seconds for a request that crashes its targets."""
 
 MAX_DEADLINE_S = 600.0
+MAX_DEADLINE_DIGITS = 12
+"""Digits of a deadline in milliseconds; a longer one is `MAX_DEADLINE_S`."""
 DEFAULT_LIMITS = Limits()
 
 
@@ -140,6 +142,8 @@
             return MAX_DEADLINE_S
         if not value.isdigit():
             return None
+        if len(value.lstrip(b"0")) > MAX_DEADLINE_DIGITS:
+            return MAX_DEADLINE_S
         return min(MAX_DEADLINE_S, int(value) / 1000)
 
     def _crashes_targets(self, request: RoutedRequest) -> bool:
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -197,6 +197,7 @@
             request.http_request.body,
             functools.partial(self._on_exchange_end, entry),
             request.http_request.method == b"HEAD",
+            request.max_response_bytes,
         )
         self._running[exchange] = entry
         self._context.targets.send(entry, exchange, now)
@@ -215,6 +216,8 @@
         self._context.targets.record_end(entry, exchange, classification, now)
         if exchange.written:
             self._sent_to.add(entry.id)
+        if exchange.exceeded:
+            self._log_cut(entry, exchange, now)
         if classification.result is Result.ANSWERED:
             self._context.hedge_delay(self._request.route).record(
                 now - exchange.started_at
@@ -304,6 +307,18 @@
         if not self._try_send(now, is_extra=True):
             self._fail()
 
+    def _log_cut(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
+        """Log which bound a response exceeded."""
+        if self._request.log_limit.allows(now):
+            events.emit(
+                events.RESPONSE_CUT,
+                request_id=self._request.text_id,
+                service=self.service,
+                target=entry.id,
+                bound=exchange.exceeded,
+                body_bytes=exchange.cut_bytes,
+            )
+
     def _on_target_death(self) -> None:
         """Report that one more target died while it ran the request."""
         self._target_deaths += 1
--- a/filbertshelf/events/requests.py
+++ b/filbertshelf/events/requests.py
@@ -155,3 +155,14 @@
     "budget_left",
     "decision",
 )
+RESPONSE_CUT = define(
+    215,
+    "response-cut",
+    "A target's response exceeded a bound, and its connection was closed.",
+    "request_id",
+    "service",
+    "target",
+    "bound",
+    "body_bytes",
+    level=Level.WARNING,
+)
--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -9,6 +9,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import attrs
+
 from filbertshelf import events
 from filbertshelf.clock import Clock
 from filbertshelf.errors import (
@@ -33,6 +35,9 @@
 
 MAX_PAGES = 1_000
 
+MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
+"""Bytes of all pages together; thousands of targets and a configuration are less."""
+
 
 class StoreClient:
     """Reads a full copy of the store, then the changes since a revision."""
@@ -48,13 +53,19 @@
         """
         items: list[Any] = []
         revision = 0
+        size = 0
         query = {"prefix": ALL_KEYS_PREFIX}
         for _ in range(MAX_PAGES):
             page = await self._get(RANGE_PATH, query)
+            size += page.size
+            if size > MAX_SNAPSHOT_BYTES:
+                raise PlatformContentError(
+                    f"the store's pages are over {MAX_SNAPSHOT_BYTES} bytes"
+                )
             page_items = _list_field(page, "items")
             items += page_items
             revision = revision or _store_revision(page)
-            if not page.get("hasMore") or not page_items:
+            if not page.fields.get("hasMore") or not page_items:
                 return _decode_items(0, revision, items)
             query["after"] = _last_key(page_items)
         raise PlatformContentError(f"the store has more than {MAX_PAGES} pages")
@@ -74,33 +85,42 @@
         """Close the connections."""
         self._fetcher.close()
 
-    async def _get(self, path: str, query: dict[str, str]) -> dict[str, Any]:
+    async def _get(self, path: str, query: dict[str, str]) -> _Page:
         target = f"{path}?{urlencode(query)}".encode()
         exchange = await self._fetcher.get(target, CALL_TIMEOUT_S)
         if exchange.status == 410:
             raise HistoryLostError("the store no longer has the requested changes")
         if exchange.status != 200:
             raise PlatformError(f"the store answered with status {exchange.status}")
+        body = exchange.response_body
         try:
-            page = json.loads(exchange.response_body)
-        except ValueError as exc:
+            fields = json.loads(body)
+        except (ValueError, RecursionError) as exc:
             raise PlatformContentError(
                 f"the store's answer is not JSON: {exc!r:.200}"
             ) from exc
-        if not isinstance(page, dict):
+        if not isinstance(fields, dict):
             raise PlatformContentError("the store's answer is not an object")
-        return page
+        return _Page(fields, len(body))
+
+
+@attrs.frozen
+class _Page:
+    """One answer of the store; `size` is its length in bytes."""
+
+    fields: dict[str, Any]
+    size: int
 
 
-def _list_field(page: dict[str, Any], name: str) -> list[Any]:
-    value = page.get(name)
+def _list_field(page: _Page, name: str) -> list[Any]:
+    value = page.fields.get(name)
     if not isinstance(value, list):
         raise PlatformContentError(f"the store's answer has no list {name!r}")
     return value
 
 
-def _store_revision(page: dict[str, Any]) -> int:
-    value = page.get("storeRevision")
+def _store_revision(page: _Page) -> int:
+    value = page.fields.get("storeRevision")
     if type(value) is not int or value < 0:
         raise PlatformContentError(f"the store's revision is malformed: {value!r:.80}")
     return value
--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -13,6 +13,11 @@
 from filbertshelf.clock import Clock
 from filbertshelf.protocol.http_messages import HeaderField
 from filbertshelf.state.idle_limit import IdleLimit
+from filbertshelf.transport.http1.response_bounds import (
+    MAX_BODY_BYTES,
+    HeldBytes,
+    ResponseMeter,
+)
 from filbertshelf.transport.http1.sockets import set_tcp_options
 
 CONNECT_TIMEOUT_S = 1.0
@@ -23,7 +28,6 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 # The idle timeout that is assumed for servers that send none.
 DEFAULT_IDLE_S = 60.0
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 class ExchangeEnd(enum.Enum):
@@ -44,13 +48,15 @@
     `make_head` returns the request line and the headers; it is called when the
     request is written, which may be long after it was queued. `written` says whether
     the server may have read the request. `without_body` says that the response has
-    no body, as after HEAD.
+    no body, as after HEAD. A response with a longer body than `max_body_bytes` is
+    malformed; `exceeded` then names the bound, and `cut_bytes` is the length so far.
     """
 
     make_head: Callable[[], bytes]
     body: bytes
     on_end: Callable[[Exchange], None]
     without_body: bool = False
+    max_body_bytes: int = MAX_BODY_BYTES
     written: bool = False
     end: ExchangeEnd | None = None
     status: int = 0
@@ -58,6 +64,8 @@
     response_body: bytes = b""
     started_at: float = 0.0
     written_at: float = 0.0
+    exceeded: str = ""
+    cut_bytes: int = 0
     connection: HttpConnection | None = None
 
     def finish(self, end: ExchangeEnd) -> None:
@@ -75,7 +83,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body_parts: list[bytes] = []
-        self._body_bytes = 0
+        self._meter = ResponseMeter()
         self._complete = False
         self._body_ends_with_connection = False
         self._reusable = True
@@ -97,6 +105,7 @@
         if self.exchange is None:
             self.abort()
             return
+        self._meter.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -104,10 +113,21 @@
             if not self._complete:
                 self._fail_exchange(ExchangeEnd.MALFORMED)
                 return
-        if self._body_bytes > MAX_RESPONSE_BYTES:
+        self._check_progress()
+
+    def _check_progress(self) -> None:
+        """Finish a complete response, or end one that exceeds a bound."""
+        meter = self._meter
+        exceeded = meter.exceeded_content() or (
+            "" if self._complete else meter.exceeded_overhead()
+        )
+        if exceeded:
+            self.exchange.exceeded = exceeded
             self._fail_exchange(ExchangeEnd.MALFORMED)
         elif self._complete:
             self._finish_exchange()
+        else:
+            self._pool.held.update(self, self._meter.body_bytes)
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
@@ -120,6 +140,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the current exchange and remove the connection from the pool."""
         exchange, self.exchange = self.exchange, None
+        self._pool.held.release(self)
         self._pool.remove(self, exchange)
         if exchange is not None:
             exchange.finish(ExchangeEnd.LOST)
@@ -133,7 +154,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; those of a second response are ignored."""
-        if not self._complete:
+        if not self._complete and self._meter.add_field():
             self.exchange.fields.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -142,6 +163,7 @@
             return
         exchange = self.exchange
         exchange.status = self._parser.get_status_code()
+        self._meter.end_head()
         field_names = {name.lower() for name, _value in exchange.fields}
         framed = b"content-length" in field_names or b"transfer-encoding" in field_names
         empty = exchange.status in (204, 304) or exchange.status < 200
@@ -156,7 +178,7 @@
         """Store a part of the body; that of a second response is ignored."""
         if not self._complete:
             self._body_parts.append(part)
-            self._body_bytes += len(part)
+            self._meter.body_bytes += len(part)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete; an interim (1xx) response is dropped."""
@@ -165,6 +187,7 @@
         if 100 <= self.exchange.status < 200:
             self.exchange.fields.clear()
             self.exchange.status = 0
+            self._meter.end_interim_response()
             return
         self._complete = True
         # This must be checked here, because the parser loses the information once the
@@ -184,7 +207,7 @@
         self._complete = False
         self._body_ends_with_connection = False
         self._body_parts = []
-        self._body_bytes = 0
+        self._meter = ResponseMeter(exchange.max_body_bytes)
         self._transport.write(exchange.make_head() + exchange.body)
 
     def abort(self) -> None:
@@ -193,6 +216,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def abandon(self) -> None:
+        """Close the connection without ending its exchange."""
+        self.exchange = None
+        self._drop_body()
+        self.abort()
+
     def close(self) -> None:
         """Close an idle connection."""
         self._reusable = False
@@ -207,10 +236,15 @@
             and not self._transport.is_closing()
         )
 
+    def shed(self) -> None:
+        """Give up the response, because all responses together are too large."""
+        self.exchange.exceeded = "all responses"
+        self._fail_exchange(ExchangeEnd.MALFORMED)
+
     def _finish_exchange(self) -> None:
         exchange, self.exchange = self.exchange, None
         exchange.response_body = b"".join(self._body_parts)
-        self._body_parts = []
+        self._drop_body()
         if self._reusable:
             self._pool.release(self, _idle_timeout(exchange.fields))
         else:
@@ -219,9 +253,15 @@
 
     def _fail_exchange(self, end: ExchangeEnd) -> None:
         exchange, self.exchange = self.exchange, None
+        exchange.cut_bytes = self._meter.body_bytes
+        self._drop_body()
         self.abort()
         exchange.finish(end)
 
+    def _drop_body(self) -> None:
+        self._body_parts = []
+        self._pool.held.release(self)
+
 
 def _idle_timeout(fields: list[HeaderField]) -> float:
     """Return for how many seconds the idle connection may be reused."""
@@ -237,11 +277,21 @@
 
 
 class ConnectionPool:
-    """At most `quota` connections to one address, opened on demand."""
+    """At most `quota` connections to one address, opened on demand.
+
+    `held` accounts for the bytes of responses; pools of one process may share it.
+    """
 
-    def __init__(self, address: tuple[str, int], quota: int, clock: Clock):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        quota: int,
+        clock: Clock,
+        held: HeldBytes | None = None,
+    ):
         self.address = address
         self.quota = quota
+        self.held = held or HeldBytes()
         self._clock = clock
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
@@ -286,8 +336,7 @@
         if exchange.connection is None:
             self._remove_waiting(exchange)
         else:
-            exchange.connection.exchange = None
-            exchange.connection.abort()
+            exchange.connection.abandon()
         exchange.finish(ExchangeEnd.CANCELLED)
 
     def warm_up(self) -> None:
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -31,6 +31,11 @@
 # How long a closing connection still receives bytes that were in transit; closing a
 # socket with unread bytes would reset it and lose the response.
 LINGER_S = 1.0
+# Bytes of chunk sizes, chunk extensions and trailers of a request, beside those that
+# its body explains.
+MAX_FRAMING_BYTES = 16 * 1024
+# Framing bytes for each byte of the body; a chunk of one byte needs five.
+FRAMING_PER_BODY_BYTE = 8
 TCP_USER_TIMEOUT_MS = 10_000
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -89,7 +94,7 @@
         self._running: Request | None = None
         self._limits = app.limits()
         self._refusal: tuple[int, str] | None = None
-        self._head_bytes = 0
+        self._message_bytes = 0
         self._reset_message()
         self._phase = Phase.IDLE
         self._deadline = clock.monotonic() + self._limits.idle_timeout_s
@@ -97,6 +102,7 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._fields: list[HeaderField] = []
+        self._headers_complete = False
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
 
@@ -110,12 +116,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
-        if self._phase is Phase.CLOSING:
+        if self._phase is Phase.CLOSING or self._refusal is not None:
             return
         if self._phase is Phase.IDLE:
             self._enter_phase(Phase.HEAD)
-        if self._phase is Phase.HEAD:
-            self._head_bytes += len(data)
+        self._message_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -124,8 +129,7 @@
             self._disable_keep_alive()
         except httptools.HttpParserError as exc:
             self._refuse(400, str(exc) or "the request is malformed")
-        if self._phase is Phase.HEAD and self._head_too_long():
-            self._refuse(431, "the headers are too long")
+        self._check_overhead()
         self._start_next()
 
     def eof_received(self) -> bool:
@@ -153,11 +157,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers of a chunked body are dropped."""
-        if self._phase is not Phase.BODY:
+        if not self._headers_complete:
             self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the sizes of the headers and the body before the body arrives."""
+        self._headers_complete = True
         size = sum(len(name) + len(value) + 4 for name, value in self._fields)
         if size + len(self._target) > self._limits.header_bytes:
             self._refuse(431, "the headers are too long")
@@ -196,6 +201,7 @@
             self._reply,
         )
         self._reset_message()
+        self._message_bytes = 0
         self._queue.append(req)
         if self._phase is not Phase.ANSWER:
             self._phase = Phase.IDLE
@@ -204,8 +210,17 @@
 
     # Requests and responses.
 
-    def _head_too_long(self) -> bool:
-        return self._head_bytes > self._limits.header_bytes
+    def _check_overhead(self) -> None:
+        """Refuse an incomplete request with too many bytes beside its body."""
+        overhead = self._message_bytes - self._body_bytes
+        if overhead <= self._limits.header_bytes:
+            return
+        if not self._headers_complete:
+            self._refuse(431, "the headers are too long")
+            return
+        framing = MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+        if overhead > self._limits.header_bytes + framing:
+            self._refuse(400, "the chunks or the trailers are too long")
 
     def _refuse(self, status: int, reason: str) -> None:
         """Send an error response once the requests before it have been answered."""
@@ -268,7 +283,6 @@
     def _enter_phase(self, phase: Phase) -> None:
         self._phase = phase
         if phase is Phase.IDLE:
-            self._head_bytes = 0
             self._limits = self._app.limits()
             seconds = self._limits.idle_timeout_s
         else:
--- a/filbertshelf/transport/peer_link.py
+++ b/filbertshelf/transport/peer_link.py
@@ -17,6 +17,9 @@
 from filbertshelf.state.members import Address
 
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+# The opening request or response; the library limits its lines, but reads on after an
+# error until the other end closes.
+MAX_OPENING_BYTES = 64 * 1024
 CLOSE_TIMEOUT_S = 1.0
 # Above this many unsent bytes a peer is considered to have stopped reading; further
 # messages to it are refused instead of buffered.
@@ -40,12 +43,18 @@
 
 
 class _Metered:
-    """A mixin that counts the bytes that a connection receives."""
+    """A mixin that counts received bytes and limits those of the opening handshake."""
 
     counts: PeerCounts
+    _opening_bytes = 0
 
     def data_received(self, data: bytes) -> None:
         self.counts.bytes_received += len(data)
+        if self.protocol.state is State.CONNECTING:
+            self._opening_bytes += len(data)
+            if self._opening_bytes > MAX_OPENING_BYTES:
+                self.transport.abort()
+                return
         super().data_received(data)
 
 
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -109,6 +109,7 @@
 
     "": none; refused: no connection; silent: no answer; shed: says that it did not run
     the request; error: its own 500; reset: the connection ends after the request ran;
+    endless: the response has no end and is cut at a bound;
     crash: like reset, and the leaf dies; moved: another target has its address; full:
     no connection is free; held: requests wait for a connection.
     """
@@ -146,6 +147,11 @@
             self.simulation.time.call_later(
                 0.01, lambda: exchange.finish(ExchangeEnd.LOST)
             )
+        elif self.fault == "endless":
+            exchange.exceeded = "body"
+            self.simulation.time.call_later(
+                0.01, lambda: exchange.finish(ExchangeEnd.MALFORMED)
+            )
         else:
             self._serve(exchange, now, head[b"Id"])
 
@@ -280,7 +286,7 @@
             self.time,
             self.rng,
             self.time.call_later,
-            lambda address, quota, clock: self._pool(address[1]),
+            lambda address, quota, clock, held: self._pool(address[1]),
         )
         self.targets.set_fleet(fleet, fleet, True)
         self.crashes = CrashCounter(self.time)
--- a/test/coordination/test_forward.py
+++ b/test/coordination/test_forward.py
@@ -35,13 +35,13 @@
     assert call.result.response.body == simulation.leafs["t1"].record()
 
 
-@pytest.mark.parametrize("fault", ["reset", "silent"])
+@pytest.mark.parametrize("fault", ["reset", "silent", "endless"])
 def test_a_non_idempotent_request_that_may_have_run_is_not_retried(fault):
     # Guards against a booking that runs twice.
     simulation = simulation_with(fault, fault)
     call = send_and_wait(simulation)
     assert simulation.arrivals() == 1
-    assert call.status == (502 if fault == "reset" else 504)
+    assert call.status == (504 if fault == "silent" else 502)
 
 
 @pytest.mark.parametrize("fault", ["refused", "shed", "moved"])
@@ -131,3 +131,15 @@
     assert {exchange.end for exchange in simulation.leafs["t1"].queued} == {
         ExchangeEnd.CANCELLED
     }
+
+
+def test_a_response_without_end_is_logged_and_another_target_asked(log):
+    # Guards against a target that sends without end and keeps getting requests.
+    simulation = simulation_with("endless", "endless", "")
+    route = single_route("desk", Repeat.IDEMPOTENT, max_attempts=3)
+    calls = [send_and_wait(simulation, route) for _ in range(10)]
+    assert {call.status for call in calls} == {200}
+    cut = [line for line in log if line.get("event") == 215]
+    assert cut and {line["bound"] for line in cut} == {"body"}
+    endless, _, good = (len(leaf.arrivals) for leaf in simulation.leafs.values())
+    assert endless < good
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -286,6 +286,15 @@
     assert "filbertshelf_config_version 1.0" in text
 
 
+async def test_a_deadline_with_very_many_digits_is_a_long_one(deployment):
+    # Guards against a number that can't be converted and ends the connection without
+    # an answer.
+    status, _headers, _body = await deployment.send_request(
+        "/one/x", deadline_ms="9" * 400
+    )
+    assert status == 200
+
+
 async def test_a_stopping_gateway_is_not_ready_but_finishes_its_requests(deployment):
     # Guards against a stop that aborts a request that was already read.
     gateway = deployment.gateways[0]
--- a/test/coordination/test_gather.py
+++ b/test/coordination/test_gather.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from test.coordination.simulated_gateway import Simulation, gather_route
+from filbertshelf.state.routing import Gather
+from test.coordination.simulated_gateway import Leaf, Simulation, gather_route
 
 OBJECTIVE_S = 0.15
 
@@ -179,3 +180,31 @@
     simulation.time.run_until(1.0)
     assert (call.status, call.header(b"Missing")) == (200, b"0")
     assert call.elapsed_s <= OBJECTIVE_S
+
+
+def test_shards_whose_targets_send_without_end_are_asked_elsewhere():
+    # Guards against a query that loses a shard to a target that sends without end.
+    simulation = Simulation()
+    shards = simulation.add_shards(20)
+    for service in shards[:3]:
+        endless = next(x for x in simulation.leafs.values() if x.service == service)
+        endless.fault = "endless"
+    call = simulation.send_request(gather_route(shards))
+    simulation.time.run_until(2.0)
+    assert call.header(b"Missing") == b"0"
+
+
+def test_a_long_answer_is_kept_only_as_its_greatest_records(monkeypatch):
+    # Guards against holding whole answers of all shards until the last one comes.
+    simulation = Simulation()
+    shards = simulation.add_shards(2, replicas=1)
+    *_, silent = simulation.leafs.values()
+    silent.fault = "silent"
+    records = [b"%016d" % n for n in range(2_000)]
+    monkeypatch.setattr(Leaf, "record", lambda self: b"".join(records))
+    call = simulation.send_request(gather_route(shards, gather=Gather(shards, 10, 0.5)))
+    simulation.time.run_until(0.1)
+    held = [c.answer.response_body for c in call.runner._calls if c.answer]
+    assert held == [b"".join(sorted(records, reverse=True)[:10])]
+    simulation.time.run_until(2.0)
+    assert call.result.response.body == held[0]
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -8,6 +8,7 @@
 from filbertshelf.errors import HistoryLostError, PlatformContentError, PlatformError
 from filbertshelf.platform import store as module
 from filbertshelf.platform.store import StoreClient
+from filbertshelf.protocol.http_messages import Response
 from test.platform.store_standin import StoreStandin
 from test.platform.test_entries import CONFIG, ENTRY
 
@@ -136,3 +137,29 @@
     update = await client.snapshot()
     assert [change.id for change in update.directory.targets] == ["i-a"]
     assert len([line for line in log if line["event"] == 413]) == 2
+
+
+async def test_a_store_whose_pages_never_end_is_not_read_on(store, client, monkeypatch):
+    # Guards against a store in trouble that fills the memory page by page.
+    monkeypatch.setattr(module, "MAX_SNAPSHOT_BYTES", 4_000)
+    monkeypatch.setattr(
+        StoreStandin, "_read_range", lambda self, query: _endless_page()
+    )
+    with pytest.raises(PlatformContentError, match="over 4000 bytes"):
+        await client.snapshot()
+    assert len(store.calls) < 40
+
+
+def _endless_page():
+    item = {"key": "servers/i-a", "value": "", "modRevision": 1}
+    return {"items": [item], "hasMore": True, "storeRevision": 9}
+
+
+async def test_a_deeply_nested_answer_of_the_store_is_malformed(client, monkeypatch):
+    # Guards against ending the task that reads the store.
+    nested = Response(200, (), b"[" * 200_000)
+    monkeypatch.setattr(
+        StoreStandin, "_reply", lambda self, req, page: req.reply(nested)
+    )
+    with pytest.raises(PlatformContentError, match="not JSON"):
+        await client.snapshot()
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -33,6 +33,7 @@
     """The processes, servers and tasks of one soak; `close` ends all of them."""
 
     def __init__(self, seed: int, folder: Path, gateways: int = 4):
+        self.seed = seed
         self.rng = random.Random(seed)
         self.history = History()
         self.store = StoreStandin(page_size=50)
--- a/test/soak/gateways.py
+++ b/test/soak/gateways.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import sys
@@ -130,6 +131,14 @@
         """Return the exit code, or None while the process runs."""
         return None if self._process is None else self._process.returncode
 
+    def peak_memory_bytes(self) -> int:
+        """Return the peak resident size of the process, 0 if it doesn't run."""
+        if not self.running:
+            return 0
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        peak = re.search(r"VmHWM:\s+(\d+) kB", status)
+        return int(peak[1]) * 1024 if peak else 0
+
     def signal(self, signum: int) -> None:
         """Send a signal to the process if it runs."""
         if self.running:
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -10,6 +10,18 @@
 Address = tuple[str, int]
 
 CHUNK_BYTES = 65_536
+ENDLESS_BYTES = {
+    "head": b"X-Filler: 1\r\n",
+    "chunks": b"4\r\nabcd\r\n",
+    "no HTTP": b"\x00\xff\x07",
+}
+"""Bytes that are no answer, repeated until the other end closes the connection."""
+
+ENDLESS_START = {
+    "head": b"HTTP/1.1 200 OK\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "no HTTP": b"",
+}
 RESET_LINGER = struct.pack("ii", 1, 0)
 """SO_LINGER with a time of 0, which makes closing send a TCP reset."""
 
@@ -21,6 +33,8 @@
         self.target = target
         self.address: Address = ("", 0)
         self.delay_s = 0.0
+        self.endless = ""
+        """The kind of bytes sent instead of answers, a key of `ENDLESS_BYTES`."""
         self._forward_gate = _open_gate()
         self._backward_gate = _open_gate()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -42,6 +56,7 @@
     def heal(self) -> None:
         """End all faults; bytes that were stalled are forwarded now."""
         self.delay_s = 0.0
+        self.endless = ""
         self._forward_gate.set()
         self._backward_gate.set()
 
@@ -81,7 +96,9 @@
                     self._copy_bytes(reader, target_writer, self._forward_gate)
                 )
                 group.create_task(
-                    self._copy_bytes(target_reader, writer, self._backward_gate)
+                    self._copy_bytes(
+                        target_reader, writer, self._backward_gate, answers=True
+                    )
                 )
         except (OSError, ExceptionGroup):
             writer.transport.abort()
@@ -96,9 +113,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         gate: asyncio.Event,
+        answers: bool = False,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await gate.wait()
+            if answers and self.endless:
+                await _send_endless(writer, self.endless)
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             writer.write(data)
@@ -108,6 +128,17 @@
             writer.write_eof()
 
 
+async def _send_endless(writer: asyncio.StreamWriter, kind: str) -> None:
+    """Send bytes that are no answer; raises `OSError` once the other end closes."""
+    writer.write(ENDLESS_START[kind])
+    repeated = ENDLESS_BYTES[kind] * (CHUNK_BYTES // len(ENDLESS_BYTES[kind]))
+    while True:
+        writer.write(repeated)
+        await writer.drain()
+        # Other connections must be served between the pieces.
+        await asyncio.sleep(0.001)
+
+
 def _open_gate() -> asyncio.Event:
     gate = asyncio.Event()
     gate.set()
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -38,6 +38,10 @@
 """
 
 
+MAX_MEMORY_BYTES = 152 * 1024 * 1024
+"""The memory of the smallest machine that a gateway must fit on."""
+
+
 @attrs.frozen
 class Phases:
     """The durations of the phases of a soak, in seconds."""
@@ -118,6 +122,10 @@
             f"FAULT {gateway.name} exit {code}"
             for code in gateway.unexpected_exit_codes
         ]
+        if gateway.peak_memory_bytes() > MAX_MEMORY_BYTES:
+            violations.append(
+                f"FAULT {gateway.name} used {gateway.peak_memory_bytes()} B of memory"
+            )
         if b"Traceback" in gateway.log_path.read_bytes():
             violations.append(f"FAULT {gateway.name} logged a traceback")
     return violations
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from test.soak.fleet import SoakFleet
-from test.soak.proxy import Proxy
+from test.soak.proxy import ENDLESS_BYTES, Proxy
 
 Step = Callable[[SoakFleet], Awaitable[None]]
 
@@ -147,8 +147,26 @@
     await _run_steps(fleet, MAINTENANCE, until, (0.5, 1.5))
 
 
+async def _send_endless_answers(fleet: SoakFleet, until: float) -> None:
+    """Let targets send bytes without end instead of answers, two at a time.
+
+    The choices have a generator of their own, so that earlier seeds keep the sequence
+    of their other faults.
+    """
+    rng = random.Random(fleet.seed)
+    while fleet.history.now() < until:
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+        proxies = [target.proxy for target in rng.sample(fleet.targets, 2)]
+        for proxy in proxies:
+            proxy.endless = rng.choice(sorted(ENDLESS_BYTES))
+        await asyncio.sleep(rng.uniform(0.3, 1.0))
+        for proxy in proxies:
+            proxy.endless = ""
+
+
 async def run_faults(fleet: SoakFleet, until: float) -> None:
     """Run overlapping faults and maintenance steps until a monotonic time."""
+    fleet.spawn(_send_endless_answers(fleet, until))
     await _run_steps(fleet, (*FAULTS, *FAULTS, *MAINTENANCE), until, (0.1, 0.8))
 
 
--- /dev/null
+++ b/test/transport/endless.py
@@ -0,0 +1,67 @@
+"""Servers whose responses never end, for tests of the bounds on responses."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+WRITE_BYTES = 64 * 1024
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+# The start of a response, and the bytes that follow it again and again.
+ENDLESS = {
+    "status line": (b"HTTP/1.1 200 O", b"K"),
+    "header lines": (_OK, b"X-Filler: 1\r\n"),
+    "header name": (_OK, b"x"),
+    "header value": (_OK + b"X-Filler: ", b"x"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "length that is exceeded": (_OK + b"Content-Length: 9999999999\r\n\r\n", b"x"),
+    "body without a length": (_OK + b"\r\n", b"x"),
+    "chunk size": (_CHUNKED, b"0"),
+    "chunk extension": (_CHUNKED + b"5;", b"x"),
+    "chunks": (_CHUNKED, b"4\r\nabcd\r\n"),
+    "large chunks": (_CHUNKED, b"4000\r\n" + b"x" * 0x4000 + b"\r\n"),
+    "trailer lines": (_CHUNKED + b"0\r\n", b"X-Filler: 1\r\n"),
+    "trailer value": (_CHUNKED + b"0\r\nX-Filler: ", b"x"),
+    "no HTTP": (b"", b"\x00\xff"),
+}
+
+
+class EndlessServer:
+    """Answers each connection with bytes that end only when the client closes."""
+
+    def __init__(self, start: bytes, repeated: bytes, read_request: bool = True):
+        self._start = start
+        self._repeated = repeated * (WRITE_BYTES // len(repeated) + 1)
+        self._read_request = read_request
+        self._server: asyncio.Server | None = None
+        self.sent = 0
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address on which the server listens."""
+        return self._server.sockets[0].getsockname()[:2]
+
+    async def __aenter__(self) -> EndlessServer:
+        self._server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        self._server.close()
+
+    async def _handle(self, reader, writer) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            if self._read_request:
+                await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._start)
+            while True:
+                writer.write(self._repeated)
+                self.sent += len(self._repeated)
+                await writer.drain()
+        writer.close()
+        self.closed.set()
--- a/test/transport/test_http_server.py
+++ b/test/transport/test_http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import tracemalloc
 
 import pytest
 
@@ -42,6 +44,10 @@
         """Record the status."""
         self.refused.append(status)
 
+    def refusing(self, server):
+        """Return whether a connection will refuse its next request."""
+        return any(conn._refusal is not None for conn in server.connections)
+
 
 @pytest.fixture
 def app():
@@ -209,3 +215,45 @@
     assert b"Connection: close" in data
     assert data.endswith(b"done")
     assert server.in_flight == 0
+
+
+POST_CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated", "status"),
+    [
+        (b"GET /", b"x", 431),
+        (b"GET / HTTP/1.1\r\n", b"X-Filler: 1\r\n", 431),
+        (b"GET / HTTP/1.1\r\nX-Filler: ", b"x", 431),
+        (POST_CHUNKED + b"1;", b"x", 400),
+        (POST_CHUNKED, b"0", 400),
+        (POST_CHUNKED + b"0\r\n", b"X-Filler: 1\r\n", 400),
+        (POST_CHUNKED + b"0\r\nX-Filler: ", b"x", 400),
+        (POST_CHUNKED, b"1\r\nx\r\n", 413),
+    ],
+)
+@pytest.mark.parametrize("behind_another", [False, True])
+async def test_a_request_without_end_is_refused(
+    server, app, start, repeated, status, behind_another
+):
+    # Guards against a caller that sends until the process has no memory left, also
+    # while its previous request still runs.
+    app.current_limits = Limits(1_000, 2_000, 30.0, 30.0)
+    app.hold = behind_another
+    reader, writer = await asyncio.open_connection(*server.address)
+    writer.write((GET if behind_another else b"") + start)
+    tracemalloc.start()
+    with contextlib.suppress(ConnectionError):
+        for _ in range(400):
+            writer.write(repeated * (64 * 1024 // len(repeated)))
+            await writer.drain()
+            if app.pending and app.refusing(server):
+                app.pending.pop().reply(Response(200))
+    _now, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    async with asyncio.timeout(5):
+        data = await reader.read()
+    writer.close()
+    assert statuses(data) == ([200] if behind_another else []) + [status]
+    assert peak < 4 * 1024 * 1024
