Bound the answers to health and cancel requests of the own interface

Cause: TargetLink.probe and the cancel request read their answer whole, until a timeout of 1 s; a target that sends without end filled the memory meanwhile. Change: they read it within the 8 MiB of other answers. Test: two endless shapes, which failed before (2 of 2) and pass now.

--- a/filbertshelf/transport/target_link.py
+++ b/filbertshelf/transport/target_link.py
@@ -175,10 +175,10 @@
         timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
         try:
             async with self._session.get("/v1/health", timeout=timeout) as resp:
-                await resp.read()
+                await _read_body(resp)
                 self._report_state(resp)
                 return resp.status == 200
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return False
 
     def _start_waiting(self) -> None:
@@ -326,8 +326,8 @@
             async with self._session.delete(
                 f"/v1/work/{sub_id}", timeout=timeout
             ) as resp:
-                await resp.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
+                await _read_body(resp)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return
         finally:
             self._concurrency.cancelled()
--- a/test/transport/test_endless_responses.py
+++ b/test/transport/test_endless_responses.py
@@ -26,6 +26,7 @@
     HeldBytes,
     ResponseMeter,
 )
+from filbertshelf.transport.target_link import TargetLink
 from test.transport.endless import ENDLESS, WRITE_BYTES, EndlessServer
 from test.transport.test_peers import Echo
 
@@ -86,6 +87,18 @@
     assert server.sent < IN_TRANSIT_BYTES
 
 
+@pytest.mark.parametrize("shape", ["body without a length", "large chunks"])
+async def test_a_health_answer_without_end_is_a_failed_probe(shape):
+    # Guards against reading a health answer into memory until the timeout.
+    async with EndlessServer(*ENDLESS[shape]) as server:
+        address = "{}:{}".format(*server.address)
+        link = TargetLink("t", address, 1, SystemClock(), None, lambda report: None)
+        await link.start()
+        assert not await link.probe()
+        await link.stop()
+    assert server.sent < IN_TRANSIT_BYTES
+
+
 async def test_the_largest_response_ends_when_all_together_are_too_large():
     # Guards against many targets that each stay below the bound of one response.
     held = HeldBytes(300_000)
