Refuse a query that too few shards can answer before anything is sent

Cause: a query went to the shards that had a target and ended at once, because the others had none. Change: the shards with an available target are counted first; if they are too few, the answer is 503 with Retry-After, and it is true that nothing ran. Test: 6 of 20 shards listed; it failed before with 502.

--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -64,7 +64,14 @@
         self._timers: list[Timer] = []
 
     def start(self) -> None:
-        """Send the first attempt for each shard."""
+        """Send the first attempt for each shard, unless too few shards have a target.
+
+        Nothing is sent then, so that the refusal can say that the request has not run
+        and the caller can safely come back.
+        """
+        if not self._can_reach_coverage():
+            self._fail()
+            return
         now = self._context.clock.monotonic()
         self._starting = True
         for call in self._calls:
@@ -108,6 +115,12 @@
 
     # Decisions.
 
+    def _can_reach_coverage(self) -> bool:
+        """Return whether enough shards have an available target."""
+        targets = self._context.targets
+        reachable = sum(targets.has_available(call.service) for call in self._calls)
+        return not self._rule.cannot_reach_coverage(reachable, 0)
+
     def _check_at_objective(self) -> None:
         # Event loop timers may fire a fraction of a millisecond early.
         self._check_answers(self._rule.objective_at)
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -304,6 +304,14 @@
         chosen = choose_cheapest(candidates, exclude, now, self._rng)
         return None if chosen is None else service_targets.entries[chosen.state.name]
 
+    def has_available(self, service: str) -> bool:
+        """Return whether a target of the service may be sent a request now."""
+        service_targets = self._services.get(service)
+        if service_targets is None:
+            return False
+        entries = service_targets.entries.values()
+        return any(entry.state.is_available() for entry in entries)
+
     def send(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
         """Start an exchange with a target."""
         entry.running[exchange] = now
--- a/test/coordination/test_gather.py
+++ b/test/coordination/test_gather.py
@@ -208,3 +208,23 @@
     assert held == [b"".join(sorted(records, reverse=True)[:10])]
     simulation.time.run_until(2.0)
     assert call.result.response.body == held[0]
+
+
+def test_a_query_that_too_few_shards_can_answer_is_refused_before_it_is_sent():
+    # Guards against 502 for queries of which a few parts were sent, while the platform
+    # lists the targets again after an outage in which the whole fleet restarted.
+    simulation = Simulation()
+    listed = simulation.add_shards(6)
+    unlisted = [f"later-{n}" for n in range(14)]
+    call = simulation.send_request(gather_route(listed + unlisted))
+    assert call.status == 503
+    assert float(call.header(b"Retry-After")) > 0
+    assert simulation.arrivals() == 0
+
+
+def test_a_query_without_a_few_shards_is_still_sent():
+    simulation = Simulation()
+    shards = simulation.add_shards(18)
+    call = simulation.send_request(gather_route([*shards, "later-1", "later-2"]))
+    simulation.time.run_until(1.0)
+    assert (call.status, call.header(b"Missing")) == (200, b"2")
