Connect to shards ahead only in a known fleet, and delegate near the replicas

The targets spend 6 ms of a slot on each handshake and reset those over their cap of 120. It happens again after each mass kill. Also, the replicas lie in two of five data centres, and delegates in the other three fetched 87 answers a query from there. Change: a role says what an instance does for queries over many shards; connections are opened ahead only once its members are known. In a large fleet only data centres with targets of most shards have delegates. Tests: the role, the data centres near the shards, the delegates.

--- a/filbertshelf/bench/routed_cost.py
+++ b/filbertshelf/bench/routed_cost.py
@@ -29,6 +29,7 @@
 from filbertshelf.protocol.target_responses import HeaderNames, ResponseClassifier
 from filbertshelf.state.crashes import CrashCounter
 from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.retry_window import RetryPolicy
 from filbertshelf.state.routing import Gather as GatherRule
 from filbertshelf.state.routing import Limits, Repeat, Route, RouteTable
@@ -133,7 +134,7 @@
     )
     loop = asyncio.get_running_loop()
     targets = ListedTargets(cfg, clock, random.Random(1), loop.call_later)
-    targets.set_fleet(1, 1, True)
+    targets.set_role(FleetRole(1, 1, True, True))
     for number in range(fan_out):
         listed = ListedTarget(
             f"t{number}", f"s{number}", address, cfg.instance.data_centre, 2, False, 0
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -33,6 +33,7 @@
 from filbertshelf.settings import settings_digest
 from filbertshelf.state.crashes import CrashCounter
 from filbertshelf.state.delegation import Delegates
+from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import FleetEstimate, FleetSizeEstimator
 from filbertshelf.state.members import Identity
 from filbertshelf.state.pause import PauseMonitor
@@ -267,7 +268,12 @@
         """Choose the instances that run queries over many shards; divide the limits."""
         table = self.feed.table
         full_mesh = table is None or self.targets.full_mesh_fits(table, fleet.size)
-        delegates = Delegates.choose(self.membership.members(), self.membership.own)
+        near_shards = (
+            frozenset() if full_mesh else self.targets.data_centres_near_shards(table)
+        )
+        delegates = Delegates.choose(
+            self.membership.members(), self.membership.own, near_shards
+        )
         current = self.delegation.delegates
         if (delegates, full_mesh) != (current, self.delegation.full_mesh):
             events.emit(
@@ -279,14 +285,7 @@
             )
         self.delegation.delegates = delegates
         self.delegation.full_mesh = full_mesh
-        # Instances that know few members may choose other delegates.
-        all_run_gathers = full_mesh or not fleet.known
-        gather_instances = (
-            fleet.divisor if all_run_gathers else delegates.max_connection_holders()
-        )
-        self.targets.set_fleet(
-            fleet.divisor, gather_instances, full_mesh or delegates.includes_self
-        )
+        self.targets.set_role(FleetRole.choose(fleet, delegates, full_mesh))
 
     def _log_readiness(self) -> None:
         ready = self.ready()
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Protocol
@@ -13,6 +14,7 @@
 from filbertshelf.gateway_settings import Address, GatewaySettings
 from filbertshelf.protocol.target_responses import Classification
 from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import UNKNOWN_FLEET_SIZE
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.publication import Target
@@ -29,6 +31,20 @@
 DEFAULT_CONNECTIONS = 32
 """Connection limit of a target whose service is in no configuration yet."""
 
+UNKNOWN_ROLE = FleetRole(
+    instances=UNKNOWN_FLEET_SIZE,
+    gather_instances=UNKNOWN_FLEET_SIZE,
+    runs_gathers=False,
+    connects_ahead=False,
+)
+"""The role until the first members are found."""
+
+NEAR_SHARE = 0.5
+"""The share of the shards with a target in a data centre above which it is near them.
+
+Without a margin one lost target would move all queries to other data centres.
+"""
+
 WARM_UP_SPREAD_S = 1.0
 """New targets are connected to after a random delay of up to this time, so that the
 instances don't all connect at the same time."""
@@ -127,9 +143,7 @@
         self._call_later = call_later
         self._services: dict[str, ServiceTargets] = {}
         self._entries: dict[str, TargetEntry] = {}
-        self._fleet_size = UNKNOWN_FLEET_SIZE
-        self._gather_instances = UNKNOWN_FLEET_SIZE
-        self._runs_gathers = False
+        self._role = UNKNOWN_ROLE
 
     # Configuration and listing.
 
@@ -139,24 +153,11 @@
         for service in self._services.values():
             service.budget.set_policy(policy)
 
-    def set_fleet(self, size: int, gather_instances: int, runs_gathers: bool) -> None:
-        """Divide connections and budgets by `size`, the highest number of instances.
-
-        The limits of shards are divided by `gather_instances`, the number of instances
-        that run queries over many shards; `runs_gathers` says whether this instance is
-        one of them.
-        """
-        if (size, gather_instances, runs_gathers) == (
-            self._fleet_size,
-            self._gather_instances,
-            self._runs_gathers,
-        ):
+    def set_role(self, role: FleetRole) -> None:
+        """Divide connections and budgets by the role's numbers of instances."""
+        if role == self._role:
             return
-        self._fleet_size, self._gather_instances, self._runs_gathers = (
-            size,
-            gather_instances,
-            runs_gathers,
-        )
+        self._role = role
         for service in self._services.values():
             self._apply_limits(service)
             self._warm_up_all(service)
@@ -171,6 +172,16 @@
         ]
         return not caps or CONNECTION_SHARE * min(caps) >= size
 
+    def data_centres_near_shards(self, table: RouteTable) -> frozenset[str]:
+        """Return the data centres that hold targets of most shards."""
+        shard_services = _shard_services(table)
+        counts: collections.Counter[str] = collections.Counter()
+        for name in shard_services & self._services.keys():
+            entries = self._services[name].entries.values()
+            counts.update({entry.listed.data_centre for entry in entries})
+        needed = NEAR_SHARE * len(shard_services)
+        return frozenset(name for name, count in counts.items() if count > needed)
+
     def apply_table(self, table: RouteTable) -> None:
         """Apply the limits and uses of services in a version of the configuration."""
         shard_services = _shard_services(table)
@@ -249,7 +260,7 @@
         A service that no route uses yet may become a shard, and only the instances that
         run queries over many shards connect to those.
         """
-        return self._runs_gathers or service.is_single_target
+        return self._role.connects_ahead or service.is_single_target
 
     def _warm_up_all(self, service: ServiceTargets) -> None:
         if self._should_warm_up(service):
@@ -261,15 +272,14 @@
         self._call_later(delay, entry.pool.warm_up)
 
     def _apply_limits(self, service: ServiceTargets) -> None:
-        instance_count = (
-            self._gather_instances if service.is_shard else self._fleet_size
-        )
+        role = self._role
+        instance_count = role.gather_instances if service.is_shard else role.instances
         quota = max(1, int(CONNECTION_SHARE * service.connections / instance_count))
         for entry in service.entries.values():
             entry.pool.quota = quota
-        if service.is_shard and not self._runs_gathers:
+        if service.is_shard and not role.runs_gathers:
             # The instances that run queries over many shards share the whole slack.
-            instance_count = UNKNOWN_FLEET_SIZE * self._gather_instances
+            instance_count = UNKNOWN_FLEET_SIZE * role.gather_instances
         service.budget.set_fleet_size(instance_count)
 
     # Interface for requests.
--- a/filbertshelf/state/delegation.py
+++ b/filbertshelf/state/delegation.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Set
 
 import attrs
 
@@ -62,12 +62,26 @@
     """Whether this instance is a delegate itself."""
 
     @classmethod
-    def choose(cls, members: Iterable[Member], own: Member) -> Delegates:
-        """Return the fastest live instances of each data centre as delegates."""
+    def choose(
+        cls,
+        members: Iterable[Member],
+        own: Member,
+        near_shards: Set[str] = frozenset(),
+    ) -> Delegates:
+        """Return the fastest live instances of each data centre as delegates.
+
+        If instances are alive in the data centres `near_shards`, which hold targets of
+        the shards, only those have delegates: one answer between data centres is then
+        sent instead of one for each shard.
+        """
         by_data_centre: dict[str, list[Member]] = {}
         for member in members:
             if member.status is Status.ALIVE:
                 by_data_centre.setdefault(member.data_centre, []).append(member)
+        near = {
+            name: by_data_centre[name] for name in near_shards & by_data_centre.keys()
+        }
+        by_data_centre = near or by_data_centre
         chosen = {
             name: _fastest(centre_members)
             for name, centre_members in by_data_centre.items()
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -23,6 +23,7 @@
 from filbertshelf.settings import Settings
 from filbertshelf.state.crashes import CrashCounter
 from filbertshelf.state.directory import ListedTarget, TargetChange
+from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.retry_window import RetryPolicy
 from filbertshelf.state.routing import (
     Gather as GatherRule,
@@ -288,7 +289,7 @@
             self.time.call_later,
             lambda address, quota, clock, held: self._pool(address[1]),
         )
-        self.targets.set_fleet(fleet, fleet, True)
+        self.targets.set_role(FleetRole(fleet, fleet, True, True))
         self.crashes = CrashCounter(self.time)
         self.context = RoutingContext(
             self.time,
--- a/test/coordination/test_listed_targets.py
+++ b/test/coordination/test_listed_targets.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.routing import Limits, Repeat, RouteTable
 from test.coordination.simulated_gateway import (
+    ELSEWHERE,
+    HERE,
     Simulation,
     gather_route,
     service_named,
@@ -14,7 +17,8 @@
 def large_fleet(runs_gathers: bool) -> Simulation:
     """Simulate one of 130 instances, of which 18 run queries over many shards."""
     simulation = Simulation()
-    simulation.targets.set_fleet(130, 18, runs_gathers)
+    role = FleetRole(130, 18, runs_gathers, connects_ahead=runs_gathers)
+    simulation.targets.set_role(role)
     return simulation
 
 
@@ -67,3 +71,15 @@
     simulation.add_leaf("log")
     publish(simulation, 2, single_route("log", Repeat.ONCE))
     assert warmed_up_services(simulation) == {"desk", "log"}
+
+
+def test_the_data_centres_with_targets_of_most_shards_are_near_them():
+    # Guards against queries that fetch 87 answers from another data centre, and against
+    # moving all queries because a data centre lost the targets of one shard.
+    simulation = large_fleet(runs_gathers=True)
+    shards = simulation.add_shards(4)
+    simulation.add_leaf(shards[0], "third")
+    table = RouteTable.build(1, [gather_route(shards)], [], Limits())
+    assert simulation.targets.data_centres_near_shards(table) == {HERE, ELSEWHERE}
+    simulation.targets.remove("t1", "lost")
+    assert HERE in simulation.targets.data_centres_near_shards(table)
--- a/test/state/test_delegation.py
+++ b/test/state/test_delegation.py
@@ -76,3 +76,15 @@
     assert delegates.pick(rng, local).data_centre != "a"
     all_ids = {m.id for m in (*delegates.local, *delegates.remote)}
     assert delegates.pick(rng, all_ids) is None
+
+
+def test_only_data_centres_near_the_shards_have_delegates():
+    # Guards against one answer of each shard between data centres instead of one answer
+    # of the whole query (large fleets with replicas in two of five data centres).
+    own = member("c-slow-0", "c", SLOW)
+    delegates = Delegates.choose(fleet(30), own, frozenset(("a", "b")))
+    assert {m.data_centre for m in delegates.remote} == {"a", "b"}
+    assert (delegates.local, delegates.includes_self) == ((), False)
+    assert delegates.pick(random.Random(1), ()).data_centre in "ab"
+    alone = Delegates.choose([own], own, frozenset(("a", "b")))
+    assert alone.includes_self
