Send updates of the platform's content through relays in a large fleet

Cause: one instance sent each update to up to 160 random peers every 0.7 s, 229 messages a second, and above that size each change went on to three random peers from each instance. With 195 instances 34 peers were left out of each round, and as no more than 160 connections are kept, some dozen were opened anew in each. Change: above 24 instances an update goes to one relay of each group of about the square root of the fleet's size, which forwards it within its data centre; two relays of a group take turns, so that one may fail. An instance without updates still polls the platform by itself. A build without relays ignores the list of addresses; its group then polls.

--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -24,6 +24,7 @@
 from filbertshelf.state.members import Address, Member, Status
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 from filbertshelf.state.routing import RouteTable
+from filbertshelf.state.update_tree import plan_branches
 from filbertshelf.transport.peers import Peers, Sender
 
 POLL_INTERVAL_S = 0.7
@@ -41,11 +42,8 @@
 FETCH_TIMEOUT_S = 1.0
 """Timeout for a peer's update, which may be the full content over a narrow link."""
 
-MAX_PUSH_PEERS = 160
-"""Maximum number of peers to which an update is pushed; these forward it to others."""
-
-FORWARD_FAN_OUT = 3
-"""Peers to which an instance forwards an update from a peer in a larger fleet."""
+MAX_FORWARDS = 64
+"""Maximum number of peers to which an instance forwards an update."""
 
 OUTAGE_THRESHOLD_S = 2.5
 """After an outage of this length the platform's list may lack live targets."""
@@ -133,6 +131,7 @@
         self._needs_snapshot = True
         self._failures = 0
         self._fetching = False
+        self._pushes = 0
         peers.register(FeedUpdate, self._on_update)
         peers.register(FeedRequest, self._on_update_request)
 
@@ -242,20 +241,32 @@
     # Updates between peers.
 
     def _push(self, update: PlatformUpdate, unsure: bool) -> None:
-        """Push the update to peers, even if it only confirms that nothing changed."""
-        recipients = self._membership.random_peers(MAX_PUSH_PEERS)
+        """Push the update to all, even if it only confirms that nothing changed."""
         msg = FeedUpdate.of(update, self._config_revision(), self.age_s(), unsure)
         if msg.size > MAX_PUSHED_BYTES:
             msg = msg.announcement()
-        self._notify(recipients, msg)
+        self._pushes += 1
+        branches = plan_branches(self._live_peers(), self._pushes)
+        self._notify([b.recipient.address for b in branches if not b.others], msg)
+        for branch in branches:
+            if branch.others:
+                forward_to = tuple(member.address for member in branch.others)
+                relayed = attrs.evolve(msg, forward_to=forward_to)
+                self._notify([branch.recipient.address], relayed)
+
+    def _live_peers(self) -> list[Member]:
+        return [
+            member
+            for member in self._membership.members()
+            if member.status is Status.ALIVE and member.id != self._name
+        ]
 
-    def _notify(self, members: Sequence[Member], msg: FeedUpdate) -> None:
+    def _notify(self, addresses: Sequence[Address], msg: FeedUpdate) -> None:
         # A peer that misses the update polls once its own content is too old.
-        addresses = [member.address for member in members]
-        self.add_future(self._peers.notify_all(addresses, msg))
+        if addresses:
+            self.add_future(self._peers.notify_all(addresses, msg))
 
     async def _on_update(self, sender: Sender, msg: FeedUpdate) -> None:
-        before = self._held_revisions()
         if msg.since > self.directory.revision or self._lacks_config(msg):
             await self._fetch_from(sender.address)
         else:
@@ -263,16 +274,16 @@
             self._confirmed_at = max(
                 self._confirmed_at, self._clock.monotonic() - msg.age_s
             )
-        if (
-            self._held_revisions() != before
-            and self._membership.member_count() > MAX_PUSH_PEERS
-        ):
-            forwarded = attrs.evolve(msg, age_s=self.age_s())
-            self._notify(self._membership.random_peers(FORWARD_FAN_OUT), forwarded)
-
-    def _held_revisions(self) -> tuple[int, int]:
-        """Return the revisions of the targets and of the configuration."""
-        return self.directory.revision, self._config_revision()
+        if msg.forward_to and self._holds(msg):
+            forwarded = attrs.evolve(msg, forward_to=(), age_s=self.age_s())
+            self._notify(msg.forward_to[:MAX_FORWARDS], forwarded)
+
+    def _holds(self, msg: FeedUpdate) -> bool:
+        """Return whether a receiver of the message could fetch its content here."""
+        return (
+            self.directory.revision >= msg.revision
+            and self._config_revision() >= msg.config_revision
+        )
 
     def _lacks_config(self, msg: FeedUpdate) -> bool:
         return not msg.config and msg.config_revision > self._config_revision()
--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -10,7 +10,7 @@
 import attrs
 import cbor2
 
-from filbertshelf.addresses import parse_address
+from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import MessageError
 from filbertshelf.protocol.messages import message
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
@@ -29,7 +29,8 @@
     `age_s` is the age in seconds of the platform's last answer; `unsure` means that
     targets may be missing only because the platform was unavailable.
     `config_revision` is the revision of the sender's configuration; a receiver that
-    lacks it and gets no `config` should request it.
+    lacks it and gets no `config` should request it. The receiver forwards the message
+    to the peers at `forward_to`.
     """
 
     since: int
@@ -39,6 +40,7 @@
     config: bytes
     age_s: float
     unsure: bool
+    forward_to: tuple[Address, ...] = ()
 
     @classmethod
     def of(
--- a/test/coordination/test_feed.py
+++ b/test/coordination/test_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import random
 
@@ -440,3 +441,34 @@
     assert fleet.versions() == {5}
     for feed in fleet.feeds.values():
         await feed.stop()
+
+
+async def test_a_large_fleet_is_updated_within_two_seconds_without_two_relays():
+    # Guards against instances behind a relay that is cut off, and against a sender
+    # whose messages grow with the fleet.
+    fleet = Fleet(90)
+    fleet.platform.put("t1")
+    await fleet.start()
+    await fleet.run(2.0)
+    sent = collections.Counter()
+    for name, feed in fleet.feeds.items():
+        real = feed._peers.notify_all
+
+        async def notify_all(addresses, msg, name=name, real=real):
+            sent[name] += len(addresses)
+            await real(addresses, msg)
+
+        feed._peers.notify_all = notify_all
+    calls_before = fleet.platform.calls
+    await fleet.run(7.0)
+    assert fleet.platform.calls - calls_before <= 12
+    assert max(sent.values()) <= 11 * 13
+    fleet.cut_off = {"n10", "n34"}
+    fleet.platform.publish(6)
+    fleet.platform.put("t2")
+    await fleet.run(2.0)
+    fleet.platform.publish(7)
+    await fleet.run(2.0)
+    for name, feed in fleet.feeds.items():
+        assert name in fleet.cut_off or feed.table.version == 7
+        await feed.stop()
