Take no step of the time of day for a pause where the clock counts suspensions

Cause: PauseMonitor also compared the time of day, for clocks that stop while a machine is suspended. A gateway's clock counts that time, yet a forward step made it read the platform again and push what it read to all others; with steps on many machines of a large fleet each of them did. Change: the time of day is looked at only if the monotonic clock stops in a suspension.

--- a/filbertshelf/clock.py
+++ b/filbertshelf/clock.py
@@ -13,6 +13,9 @@
 class Clock(Protocol):
     """A source of time."""
 
+    counts_suspension: bool
+    """Whether `monotonic` includes the time in which the machine was suspended."""
+
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
 
@@ -26,6 +29,8 @@
 class SystemClock:
     """The clock of the machine."""
 
+    counts_suspension = False
+
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
         return datetime.now(UTC)
@@ -45,6 +50,8 @@
     `monotonic` includes the time in which the machine was suspended.
     """
 
+    counts_suspension = True
+
     def monotonic(self) -> float:
         """Return the seconds since the machine booted."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -53,6 +60,8 @@
 class ManualClock:
     """A clock for tests that only moves when `advance` is called."""
 
+    counts_suspension = False
+
     def __init__(self, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)):
         self._start = start
         self._elapsed = 0.0
--- a/filbertshelf/state/pause.py
+++ b/filbertshelf/state/pause.py
@@ -30,8 +30,9 @@
     def pending_pause_s(self) -> float:
         """Return the length of the unacknowledged pause in seconds, 0.0 if none."""
         gap = self._clock.monotonic() - self._monotonic_at
-        wall = (self._clock.now() - self._wall_at).total_seconds()
-        gap = max(gap, wall)
+        if not self._clock.counts_suspension:
+            wall = (self._clock.now() - self._wall_at).total_seconds()
+            gap = max(gap, wall)
         return max(self._pause, gap) if gap > self._threshold else self._pause
 
     def acknowledge(self) -> None:
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -6,11 +6,13 @@
 import contextlib
 import json
 import random
+from datetime import timedelta
 
 import attrs
 import pytest
 
-from filbertshelf.clock import SystemClock
+from filbertshelf import events
+from filbertshelf.clock import BootClock, Clock, SystemClock
 from filbertshelf.coordination.gateway import Gateway
 from filbertshelf.errors import SettingsError
 from filbertshelf.explain import find_messages, format_message
@@ -149,7 +151,7 @@
         doc = {"version": version, "routes": routes, "services": services}
         self.store.put("op/config", doc)
 
-    async def add_gateway(self) -> Gateway:
+    async def add_gateway(self, clock: Clock | None = None) -> Gateway:
         """Start another gateway and wait until it is ready."""
         name = f"gateway-{len(self.gateways)}"
         seeds = tuple(gateway.peers.address for gateway in self.gateways)
@@ -175,7 +177,7 @@
             HEADERS,
             lambda cfg, clock: StoreClient(cfg.instance.platform, clock),
             decode_route_table,
-            SystemClock(),
+            clock or SystemClock(),
             random.Random(len(self.gateways)),
         )
         self.gateways.append(gateway)
@@ -295,6 +297,40 @@
     assert status == 200
 
 
+class SteppedClock(BootClock):
+    """A clock whose time of day can be stepped."""
+
+    step_s = 0.0
+
+    def now(self):
+        """Return the time of day after all steps."""
+        return super().now() + timedelta(seconds=self.step_s)
+
+
+async def test_steps_of_the_time_of_day_change_nothing(deployment, log):
+    # Guards against a decision that reads the time of day: deadlines, the age of the
+    # configuration, suspicions of members.
+    clock = SteppedClock()
+    gateway = await deployment.add_gateway(clock)
+    other = deployment.gateways[0]
+    await wait_until(lambda: gateway.membership.member_count() == 2)
+    for version, step_s in enumerate((7_200.0, -7_200.0, 0.0, -5.0, 5.0), start=2):
+        clock.step_s = step_s
+        status, _, _ = await deployment.send_request("/all/x", gateway=1)
+        assert status == 200
+        deployment.publish(version)
+        newest = [g.feed for g in deployment.gateways]
+        await wait_until(
+            lambda newest=newest, version=version: all(
+                feed.table.version == version for feed in newest
+            )
+        )
+        assert gateway.feed.age_s() < 5.0
+    assert other.membership.member_count() == gateway.membership.member_count() == 2
+    events_seen = {line.get("event") for line in log}
+    assert not events_seen & {events.PAUSE_DETECTED.number, events.MEMBER_DEAD.number}
+
+
 async def test_a_stopping_gateway_is_not_ready_but_finishes_its_requests(deployment):
     # Guards against a stop that aborts a request that was already read.
     gateway = deployment.gateways[0]
