Probe more often until an instance has joined

Cause: the first probe of an instance goes to the addresses in its settings; when all start at the same moment these don't listen yet, and the next probe came 1 s later. Change: up to eight probes 0.25 s apart until the first table of members has come. Test: a seed that starts 0.3 s after the instance; it failed before.

--- a/filbertshelf/coordination/membership.py
+++ b/filbertshelf/coordination/membership.py
@@ -46,6 +46,10 @@
 # Once in this many periods, a dead or listed address is probed in addition, so that
 # the two sides of a partition join again.
 REJOIN_PROBE_PERIODS = 5
+# After its start an instance probes in shorter periods until it has joined, because the
+# addresses in its settings may belong to instances that start at the same moment.
+JOIN_PROBE_S = 0.25
+JOIN_PROBES = 8
 # An instance that knows far fewer members than another requests the whole table. The
 # interval between two such requests doubles up to this many periods, because in a mass
 # start the first tables are short and later ones are rarely needed.
@@ -160,7 +164,7 @@
     async def _probe_loop(self) -> None:
         due_at = self.clock.monotonic()
         while not self.should_stop:
-            due_at += self.cfg.probe_period
+            due_at += self._next_period_s()
             unreached_id = await self._probe_once()
             await self.clock.sleep(max(0.0, due_at - self.clock.monotonic()))
             late_s = self.clock.monotonic() - due_at
@@ -171,6 +175,11 @@
             if late_s > self.cfg.probe_period:
                 due_at = self.clock.monotonic()
 
+    def _next_period_s(self) -> float:
+        if self._joined or self._period >= JOIN_PROBES:
+            return self.cfg.probe_period
+        return min(JOIN_PROBE_S, self.cfg.probe_period)
+
     def _discard_period(self, late_s: float) -> None:
         """Discard the result of a period in which this process was paused.
 
--- a/test/coordination/test_membership.py
+++ b/test/coordination/test_membership.py
@@ -258,3 +258,17 @@
     for _ in range(6):
         await advance_until_probe(clock, node, 1.0)
     assert logged_members(log, events.MEMBER_DEAD) == {"n1", "n2", "n3"}
+
+
+async def test_an_instance_joins_soon_after_its_seed_has_started(start_node):
+    # Guards against a whole period lost when all instances start at the same moment and
+    # the seeds don't listen yet.
+    seed = await start_node("n0")
+    address = seed.address
+    await seed.stop()
+    node = await start_node("n1", seeds=[address], probe_period=5.0, probe_timeout=0.2)
+    await asyncio.sleep(0.3)
+    seed = await start_node("n2", peer_listen=address)
+    async with asyncio.timeout(2.0):
+        while node.status(seed) is not Status.ALIVE:
+            await asyncio.sleep(0.02)
