--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -23,7 +23,7 @@
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.selection import Candidate, choose_cheapest
 from filbertshelf.transport.http1.client import ConnectionPool, Exchange, ExchangeEnd
-from filbertshelf.transport.http1.response_bounds import HeldBytes
+from filbertshelf.transport.http1.message_bounds import HeldBytes
 
 CONNECTION_SHARE = 0.9
 """The fraction of a target's connections that is used; a busy target accepts fewer."""
--- a/filbertshelf/coordination/routed_request.py
+++ b/filbertshelf/coordination/routed_request.py
@@ -21,7 +21,7 @@
 from filbertshelf.state.hedging import HedgeDelay
 from filbertshelf.state.log_limit import LogRateLimit, RequestLogLimit
 from filbertshelf.state.routing import Route, RouteTable
-from filbertshelf.transport.http1.response_bounds import MAX_BODY_BYTES
+from filbertshelf.transport.http1.message_bounds import MAX_BODY_BYTES
 from filbertshelf.transport.http1.server import Request
 
 RETURN_MARGIN_S = 0.015
--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -13,7 +13,7 @@
 from filbertshelf.clock import Clock
 from filbertshelf.protocol.http_messages import HeaderField
 from filbertshelf.state.idle_limit import IdleLimit
-from filbertshelf.transport.http1.response_bounds import (
+from filbertshelf.transport.http1.message_bounds import (
     MAX_BODY_BYTES,
     HeldBytes,
     ResponseMeter,
--- a/filbertshelf/transport/http1/response_bounds.py
+++ b/filbertshelf/transport/http1/message_bounds.py
@@ -1,4 +1,4 @@
-"""Bounds on the bytes of one HTTP response and of all unfinished responses."""
+"""Bounds on the bytes of an HTTP message and of all unfinished responses."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses before the final one."""
 
-MAX_FRAMING_BYTES = 16 * 1024
-"""Bytes of chunk sizes, chunk extensions and trailers, beside those for the body."""
+MIN_FRAMING_BYTES = 16 * 1024
+"""Chunk sizes, chunk extensions and trailers that any message may have, in bytes."""
 
 FRAMING_PER_BODY_BYTE = 8
-"""Framing bytes for each byte of the body; a chunk of one byte needs five."""
+"""Further framing bytes for each byte of the body; a chunk of one byte needs five."""
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Bytes of the body, unless the exchange has a bound of its own."""
@@ -26,6 +26,11 @@
 """Body bytes of all unfinished responses of a process."""
 
 
+def max_framing_bytes(body_bytes: int) -> int:
+    """Return how many bytes a message may have beside its head and its body."""
+    return MIN_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * body_bytes
+
+
 class ResponseMeter:
     """Measures one response while it arrives."""
 
@@ -85,8 +90,8 @@
             return ""
         if not self._head_complete:
             return "head"
-        framing = MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * self.body_bytes
-        return "framing" if overhead > MAX_HEAD_BYTES + framing else ""
+        framing = overhead - MAX_HEAD_BYTES
+        return "framing" if framing > max_framing_bytes(self.body_bytes) else ""
 
 
 class Holder(Protocol):
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -21,6 +21,7 @@
     status_line,
 )
 from filbertshelf.state.routing import Limits
+from filbertshelf.transport.http1.message_bounds import max_framing_bytes
 from filbertshelf.transport.http1.sockets import set_tcp_options
 
 BACKLOG = 1_024
@@ -31,11 +32,6 @@
 # How long a closing connection still receives bytes that were in transit; closing a
 # socket with unread bytes would reset it and lose the response.
 LINGER_S = 1.0
-# Bytes of chunk sizes, chunk extensions and trailers of a request, beside those that
-# its body explains.
-MAX_FRAMING_BYTES = 16 * 1024
-# Framing bytes for each byte of the body; a chunk of one byte needs five.
-FRAMING_PER_BODY_BYTE = 8
 TCP_USER_TIMEOUT_MS = 10_000
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -218,8 +214,8 @@
         if not self._headers_complete:
             self._refuse(431, "the headers are too long")
             return
-        framing = MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
-        if overhead > self._limits.header_bytes + framing:
+        framing = overhead - self._limits.header_bytes
+        if framing > max_framing_bytes(self._body_bytes):
             self._refuse(400, "the chunks or the trailers are too long")
 
     def _refuse(self, status: int, reason: str) -> None:
--- a/filbertshelf/transport/peer_link.py
+++ b/filbertshelf/transport/peer_link.py
@@ -10,7 +10,7 @@
 from websockets.asyncio.client import ClientConnection
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import ServerConnection
-from websockets.protocol import State
+from websockets.protocol import Protocol, State
 
 from filbertshelf.errors import MessageError, PeerTimeoutError
 from filbertshelf.protocol.messages import Envelope, Kind, decode, encode
@@ -46,6 +46,8 @@
     """A mixin that counts received bytes and limits those of the opening handshake."""
 
     counts: PeerCounts
+    protocol: Protocol
+    transport: asyncio.Transport
     _opening_bytes = 0
 
     def data_received(self, data: bytes) -> None:
--- a/test/transport/test_endless_responses.py
+++ b/test/transport/test_endless_responses.py
@@ -11,7 +11,7 @@
 
 from filbertshelf.clock import SystemClock
 from filbertshelf.errors import FetchError, PeerUnreachableError
-from filbertshelf.transport.http1 import response_bounds
+from filbertshelf.transport.http1 import message_bounds
 from filbertshelf.transport.http1.client import (
     ConnectionPool,
     Exchange,
@@ -19,10 +19,10 @@
     HttpConnection,
 )
 from filbertshelf.transport.http1.fetch import Fetcher
-from filbertshelf.transport.http1.response_bounds import (
+from filbertshelf.transport.http1.message_bounds import (
     MAX_FIELDS,
-    MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
+    MIN_FRAMING_BYTES,
     HeldBytes,
     ResponseMeter,
 )
@@ -238,7 +238,7 @@
     # Guards against a place in a response at which nothing bounds what comes.
     exchange, fed = feed(RESPONSE[:at], repeated, cut)
     assert exchange.end is not None
-    assert fed <= MAX_HEAD_BYTES + MAX_FRAMING_BYTES + 9 * MAX_PART_BYTES + 2 * 4096
+    assert fed <= MAX_HEAD_BYTES + MIN_FRAMING_BYTES + 9 * MAX_PART_BYTES + 2 * 4096
 
 
 def test_a_meter_names_the_bound_that_is_exceeded():
@@ -247,7 +247,7 @@
     assert meter.exceeded_overhead() == "head"
     meter.end_head()
     assert meter.exceeded_overhead() == ""
-    meter.add_received(MAX_FRAMING_BYTES)
+    meter.add_received(MIN_FRAMING_BYTES)
     assert meter.exceeded_overhead() == "framing"
     meter.body_bytes = 11
     assert meter.exceeded_content() == "body"
@@ -258,7 +258,7 @@
 
 def test_interim_responses_are_counted():
     meter = ResponseMeter()
-    for _ in range(response_bounds.MAX_INTERIM_RESPONSES):
+    for _ in range(message_bounds.MAX_INTERIM_RESPONSES):
         meter.end_interim_response()
     assert not meter.exceeded_content()
     meter.end_interim_response()
