--- a/test/protocol/test_feed.py
+++ b/test/protocol/test_feed.py
@@ -11,6 +11,7 @@
 from filbertshelf.errors import MessageError
 from filbertshelf.protocol import feed as module
 from filbertshelf.protocol.feed import FeedUpdate
+from filbertshelf.protocol.messages import decode, encode
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 
@@ -47,6 +48,21 @@
     )
 
 
+def test_a_relayed_message_keeps_the_addresses_and_an_older_build_ignores_them():
+    # Guards against addresses that a relay can't connect to, and against an update that
+    # instances of another build can't read.
+    addresses = (("10.1.0.9", 8106), ("10.2.0.21", 8106))
+    msg = attrs.evolve(update_message(change(1)), forward_to=addresses)
+    assert decode(encode(msg)).message == msg
+    assert set(map(type, decode(encode(msg)).message.forward_to)) == {tuple}
+    kind, correlation, name, body = cbor2.loads(encode(msg))
+    del body["forward_to"]
+    older = decode(cbor2.dumps([kind, correlation, name, body])).message
+    assert older == attrs.evolve(msg, forward_to=())
+    newer = decode(cbor2.dumps([kind, correlation, name, {**body, "later": 1}]))
+    assert newer.message == older
+
+
 def test_an_update_with_hundreds_of_targets_is_small():
     # Guards against 53 KB for each of 94 peers when 405 targets are listed at the
     # same time; that was 242 MB in all on scale-2 of the grown hhgq-shelf.
