--- a/filbertshelf/protocol/delegation.py
+++ b/filbertshelf/protocol/delegation.py
@@ -4,10 +4,9 @@
 
 import attrs
 
+from filbertshelf.protocol.http_messages import HeaderField
 from filbertshelf.protocol.messages import message
 
-HeaderField = tuple[bytes, bytes]
-
 
 @message("query-delegated")
 @attrs.frozen
--- a/filbertshelf/standins/target.py
+++ b/filbertshelf/standins/target.py
@@ -218,10 +218,6 @@
         """Replace the snapshots that the target holds of a service."""
         self._services[service.name] = service
 
-    def drop_service(self, name: str) -> None:
-        """Drop all snapshots of a service."""
-        self._services.pop(name, None)
-
     def crash_for(self, down_s: float) -> None:
         """Crash, and start cold on the same address after `down_s` seconds."""
         self.counters.restarts += 1
--- a/test/promises/test_leaving.py
+++ b/test/promises/test_leaving.py
@@ -12,10 +12,6 @@
 DRAIN_NOTICED_S = 3.0
 
 
-async def started_after(fleet, name, moment):
-    return [e for e in fleet.targets[name].history().executions if e.start > moment]
-
-
 async def wait_until_draining(fleet, name):
     """Wait until every instance considers the target draining."""
     instances = fleet.instances.values()
--- a/test/soak/gateways.py
+++ b/test/soak/gateways.py
@@ -11,7 +11,8 @@
 import time
 from pathlib import Path
 
-from test.soak.proxy import Address, Proxy
+from filbertshelf.addresses import Address
+from test.soak.proxy import Proxy
 
 SETTINGS = """\
 node = "{name}"
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 
-Address = tuple[str, int]
+from filbertshelf.addresses import Address
 
 CHUNK_BYTES = 65_536
 ENDLESS_BYTES = {
