--- a/test/conftest.py
+++ b/test/conftest.py
@@ -31,6 +31,12 @@
         "where False = all_alive(",
         "another suspicion may be open on a busy machine",
     ),
+    KnownRed(
+        "test/promises/test_republish.py::test_changed_connection_quotas_mark_no_targ",
+        "call",
+        "diff: 'partial' != 'whole'",
+        "a query loses a part while connection quotas change on a busy machine",
+    ),
 )
 
 
