Log which targets name a rate limit, and what is sent to them

Nothing in the logs showed that a target names a limit for the requests a second from all instances, so the three hypotheses could not be told apart. Event 306 and a gauge show it now; no decision uses it yet.

--- a/filbertshelf/bench/routed_cost.py
+++ b/filbertshelf/bench/routed_cost.py
@@ -43,6 +43,7 @@
     not_run=b"Not-Run",
     part_stamps=b"Parts",
     missing_parts=b"Missing",
+    rate_limit=b"Limit",
 )
 RECORDS = bytes(range(192))
 TIMEOUT_S = 60.0
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -177,6 +177,11 @@
         )
         gauge("members", "Instances that are believed alive.", self._member_count)
         gauge("targets", "Listed targets.", lambda: len(self.targets.states()))
+        gauge(
+            "rate_limited_targets",
+            "Listed targets that name a rate limit.",
+            self.targets.rate_limited_count,
+        )
         gauge(
             "requests_in_flight",
             "Requests that wait for their answer.",
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -11,8 +11,9 @@
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
+from filbertshelf.errors import MessageError
 from filbertshelf.gateway_settings import Address, GatewaySettings
-from filbertshelf.protocol.target_responses import Classification
+from filbertshelf.protocol.target_responses import Classification, parse_rate_limit
 from filbertshelf.state.directory import ListedTarget, TargetChange
 from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import UNKNOWN_FLEET_SIZE
@@ -22,6 +23,7 @@
 from filbertshelf.state.retry_window import RetryPolicy, RetryWindow
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.selection import Candidate, choose_cheapest
+from filbertshelf.state.target_rate import TargetRate
 from filbertshelf.transport.http1.client import ConnectionPool, Exchange, ExchangeEnd
 from filbertshelf.transport.http1.message_bounds import HeldBytes
 
@@ -89,6 +91,7 @@
     listed: ListedTarget
     pool: Pool
     candidate: Candidate
+    rate: TargetRate
     running: dict[Exchange, float] = attrs.field(factory=dict)
 
     @property
@@ -238,7 +241,8 @@
         state = TargetState(target, self._clock, self._rng)
         state.draining = listed.draining
         local = listed.data_centre == self._data_centre
-        entry = TargetEntry(listed, pool, Candidate(state, local))
+        rate = TargetRate(self._clock.monotonic())
+        entry = TargetEntry(listed, pool, Candidate(state, local), rate)
         service.entries[listed.id] = entry
         self._entries[listed.id] = entry
         self._apply_limits(service)
@@ -322,9 +326,12 @@
         entries = service_targets.entries.values()
         return any(entry.state.is_available() for entry in entries)
 
-    def send(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
-        """Start an exchange with a target."""
+    def send(
+        self, entry: TargetEntry, exchange: Exchange, now: float, is_extra: bool = False
+    ) -> None:
+        """Start an exchange with a target; a hedge or a retry is an extra one."""
         entry.running[exchange] = now
+        entry.rate.count(is_extra)
         entry.state.attempt_started()
         entry.pool.submit(exchange)
 
@@ -351,9 +358,40 @@
                 after=after.value,
                 reason=classification.reason.value,
             )
+        if classification.tells_rate_limit:
+            self._record_rate_limit(entry, classification.rate_limit, now)
         if classification.other_target:
             self.remove(entry.id, "another target has its address")
 
+    def _record_rate_limit(
+        self, entry: TargetEntry, value: bytes | None, now: float
+    ) -> None:
+        """Record the rate limit in a response, None if the target names none."""
+        try:
+            limit_per_s = None if value is None else parse_rate_limit(value)
+        except MessageError as exc:
+            events.emit(events.RATE_LIMIT_IGNORED, target=entry.id, reason=str(exc))
+            return
+        entry.rate.limit_per_s = limit_per_s
+        change = entry.rate.change_to_log(now)
+        if change is not None:
+            events.emit(
+                events.TARGET_RATE_LIMITED,
+                target=entry.id,
+                service=entry.listed.service,
+                before=change.before,
+                after=change.after,
+                sent=change.sent,
+                extra=change.extra,
+                elapsed_s=round(change.elapsed_s, 2),
+            )
+
+    def rate_limited_count(self) -> int:
+        """Return how many listed targets name a rate limit."""
+        return sum(
+            entry.rate.limit_per_s is not None for entry in self._entries.values()
+        )
+
     def cancel(self, entry: TargetEntry, exchange: Exchange) -> None:
         """Cancel an exchange and close its connection."""
         entry.pool.cancel(exchange)
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -184,10 +184,10 @@
         if is_extra and not targets.budget(self.service).try_spend(now):
             self.reason = Reason.RETRY_BUDGET
             return False
-        self._send(entry, now)
+        self._send(entry, now, is_extra)
         return True
 
-    def _send(self, entry: TargetEntry, now: float) -> None:
+    def _send(self, entry: TargetEntry, now: float, is_extra: bool = False) -> None:
         request = self._request
         self.sub_requests += 1
         self._tried.add(entry.id)
@@ -199,7 +199,7 @@
             request.max_response_bytes,
         )
         self._running[exchange] = entry
-        self._context.targets.send(entry, exchange, now)
+        self._context.targets.send(entry, exchange, now, is_extra)
 
     def _make_head(self, target_id: str) -> bytes:
         now = self._context.clock.monotonic()
--- a/filbertshelf/events/__init__.py
+++ b/filbertshelf/events/__init__.py
@@ -84,10 +84,12 @@
     ROUTED_REQUEST_REFUSED,
 )
 from filbertshelf.events.targets import (
+    RATE_LIMIT_IGNORED,
     TARGET_ADDED,
     TARGET_BREAKER_CHANGED,
     TARGET_DIED,
     TARGET_DRAINING,
+    TARGET_RATE_LIMITED,
     TARGET_REMOVED,
     TARGET_SERVING,
 )
@@ -146,6 +148,7 @@
     "QUERY_QUARANTINED",
     "QUERY_REPLANNED",
     "QUERY_STOPPED_WAITING",
+    "RATE_LIMIT_IGNORED",
     "RATE_TOKENS_RECEIVED",
     "REPLICA_CHOSEN",
     "REQUEST_ANSWERED",
@@ -161,6 +164,7 @@
     "TARGET_BREAKER_CHANGED",
     "TARGET_DIED",
     "TARGET_DRAINING",
+    "TARGET_RATE_LIMITED",
     "TARGET_REMOVED",
     "TARGET_RESERVED",
     "TARGET_SERVING",
--- a/filbertshelf/events/targets.py
+++ b/filbertshelf/events/targets.py
@@ -38,3 +38,26 @@
     "after",
     "reason",
 )
+
+TARGET_RATE_LIMITED = define(
+    306,
+    "target-rate-limited",
+    "A target named, changed or ended its limit for the requests a second from all "
+    "instances; `sent` and `extra` count this instance's sub-requests before it.",
+    "target",
+    "service",
+    "before",
+    "after",
+    "sent",
+    "extra",
+    "elapsed_s",
+)
+
+RATE_LIMIT_IGNORED = define(
+    307,
+    "rate-limit-ignored",
+    "A target named a malformed rate limit; the one known before stays in force.",
+    "target",
+    "reason",
+    level=Level.WARNING,
+)
--- a/filbertshelf/platform/constants.py
+++ b/filbertshelf/platform/constants.py
@@ -12,6 +12,7 @@
     not_run=b"Not-Executed",
     part_stamps=b"Part-Stamps",
     missing_parts=b"Missing-Parts",
+    rate_limit=b"Server-Limit",
 )
 
 SETTINGS_VARIABLE = "FILBERTSHELF_SETTINGS"
--- a/filbertshelf/protocol/target_responses.py
+++ b/filbertshelf/protocol/target_responses.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
+from filbertshelf.errors import MessageError
 from filbertshelf.protocol.http_messages import HeaderField, Response
 from filbertshelf.state.outcome import Reason, Result
 
@@ -31,6 +34,8 @@
     """The signatures of all shard answers in a merged answer."""
     missing_parts: bytes
     """The number of shards that a merged answer lacks."""
+    rate_limit: bytes
+    """The requests a second that a target takes from all instances together."""
 
     def names_set_by_instance(self) -> frozenset[bytes]:
         """Return the lower-case names of the headers that an instance sets itself."""
@@ -47,12 +52,30 @@
     stamp: bytes = b""
     other_target: bool = False
     """True if the address now belongs to a target other than the expected one."""
+    rate_limit: bytes | None = None
+    """The rate limit that the target names, None if it names none."""
+
+    @property
+    def tells_rate_limit(self) -> bool:
+        """Return whether the response tells if the target has a rate limit.
+
+        A refusal without one may come from a target that is too busy to name it.
+        """
+        return self.rate_limit is not None or bool(self.stamp)
+
+
+@attrs.frozen
+class _ParsedFields:
+    """The fields of a response that belongs to the request."""
+
+    stamp: bytes = b""
+    not_run: bool = False
+    rate_limit: bytes | None = None
 
 
 _NOT_RUN_STATUSES = frozenset((400, 408, 421, 429, 503))
 _OTHER_TARGET_STATUS = 421
 _BAD_RESPONSE = Classification(Result.UNKNOWN, Reason.BAD_RESPONSE)
-_OVERLOADED = Classification(Result.NOT_RUN, Reason.OVERLOADED)
 _OTHER_TARGET = Classification(Result.NOT_RUN, Reason.NO_REPLICA, other_target=True)
 
 
@@ -66,6 +89,7 @@
         self._request_id = names.request_id.lower()
         self._stamp = names.stamp.lower()
         self._not_run = names.not_run.lower()
+        self._rate_limit = names.rate_limit.lower()
 
     def classify(
         self, status: int, fields: list[HeaderField], request_id: bytes
@@ -79,26 +103,30 @@
         parsed = self._parse_fields(fields, request_id)
         if parsed is None:
             return _BAD_RESPONSE
-        stamp, not_run = parsed
+        stamp, rate_limit = parsed.stamp, parsed.rate_limit
         if status == _OTHER_TARGET_STATUS:
             return _OTHER_TARGET
-        if not_run and status in _NOT_RUN_STATUSES:
-            return _OVERLOADED
+        if parsed.not_run and status in _NOT_RUN_STATUSES:
+            return Classification(
+                Result.NOT_RUN, Reason.OVERLOADED, rate_limit=rate_limit
+            )
         if not stamp:
             return _BAD_RESPONSE
         if 200 <= status < 300:
-            return Classification(Result.ANSWERED, Reason.NONE, stamp)
-        return Classification(Result.UNKNOWN, Reason.TARGET_ERROR, stamp)
+            return Classification(
+                Result.ANSWERED, Reason.NONE, stamp, rate_limit=rate_limit
+            )
+        return Classification(
+            Result.UNKNOWN, Reason.TARGET_ERROR, stamp, rate_limit=rate_limit
+        )
 
     def _parse_fields(
         self, fields: list[HeaderField], request_id: bytes
-    ) -> tuple[bytes, bool] | None:
-        """Return the signature and whether the header for "not run" is present.
-
-        Returns None if the response belongs to another request or is encoded.
-        """
+    ) -> _ParsedFields | None:
+        """Return the fields, or None for another request's or an encoded response."""
         stamp = b""
         not_run = False
+        rate_limit = None
         for name, value in fields:
             name = name.lower()
             if name == self._stamp:
@@ -108,9 +136,22 @@
                     return None
             elif name == self._not_run:
                 not_run = True
+            elif name == self._rate_limit:
+                rate_limit = value
             elif name == _CONTENT_ENCODING and value.lower() != b"identity":
                 return None
-        return stamp, not_run
+        return _ParsedFields(stamp, not_run, rate_limit)
+
+
+def parse_rate_limit(value: bytes) -> float:
+    """Return a rate limit in requests a second; raises `MessageError`."""
+    try:
+        rate = float(value)
+    except ValueError as exc:
+        raise MessageError(f"the rate limit {value!r:.80} is no number") from exc
+    if not 0.0 <= rate < math.inf:
+        raise MessageError(f"the rate limit {value!r:.80} is out of range")
+    return rate
 
 
 def error_response(status: int, retry_after_s: float | None = None) -> Response:
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -40,7 +40,7 @@
 from filbertshelf.transport.http1.server import Request
 
 HEADER_NAMES = HeaderNames(
-    b"Id", b"Left-Ms", b"Stamp", b"Expect", b"Not-Run", b"Parts", b"Missing"
+    b"Id", b"Left-Ms", b"Stamp", b"Expect", b"Not-Run", b"Parts", b"Missing", b"Limit"
 )
 HERE = "here"
 ELSEWHERE = "elsewhere"
