--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -114,6 +114,8 @@
     crash: like reset, and the leaf dies; moved: another target has its address; full:
     no connection is free; held: requests wait for a connection.
     """
+    rate_limit: float | None = None
+    """The requests a second that it names in its answers, None for no limit."""
     arrivals: list[float] = attrs.field(factory=list)
     request_ids: list[bytes] = attrs.field(factory=list)
     deadlines_ms: list[int] = attrs.field(factory=list)
@@ -167,6 +169,8 @@
         self._slots_free_at[self._slots_free_at.index(free)] = end
         stamp = f"{self.id}-".encode() + request_id
         fields = [(b"Stamp", stamp), (b"Id", request_id)]
+        if self.rate_limit is not None:
+            fields.append((b"Limit", b"%.1f" % self.rate_limit))
         self._answer(exchange, end - now, 200, fields, self.record())
 
     def record(self) -> bytes:
@@ -264,9 +268,12 @@
         fleet: int = 1,
         early_s: float = 0.0,
         role: FleetRole | None = None,
+        time: VirtualTime | None = None,
+        seed: int = 7,
     ):
-        self.time = VirtualTime(early_s)
-        self.rng = random.Random(7)
+        """Create a gateway; one that belongs to a fleet shares the `time` of all."""
+        self.time = time or VirtualTime(early_s)
+        self.rng = random.Random(seed)
         self.leafs: dict[str, Leaf] = {}
         self.pools: dict[str, LeafPool] = {}
         self._ports: dict[int, Leaf] = {}
@@ -309,16 +316,20 @@
 
     def add_leaf(self, service: str, data_centre: str = HERE, **options) -> Leaf:
         """Add a leaf of a service and list it."""
+        leaf = Leaf(self, f"t{len(self.leafs) + 1}", service, **options)
+        self.list_leaf(leaf, data_centre)
+        return leaf
+
+    def list_leaf(self, leaf: Leaf, data_centre: str = HERE) -> None:
+        """List a leaf, which may belong to another simulation of the same fleet."""
         number = len(self.leafs) + 1
-        leaf = Leaf(self, f"t{number}", service, **options)
         self.leafs[leaf.id] = leaf
         self._ports[number] = leaf
         address = ("10.0.0.1", number)
         listed = ListedTarget(
-            leaf.id, service, address, data_centre, leaf.slots, False, 0
+            leaf.id, leaf.service, address, data_centre, leaf.slots, False, 0
         )
         self.targets.apply([TargetChange(leaf.id, number, listed)])
-        return leaf
 
     def add_shards(self, count: int, replicas: int = 2, **options) -> list[str]:
         """Add services with one leaf in this data centre and the others elsewhere."""
