--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -37,6 +37,7 @@
         self.id = id_
         self.server = HttpServer(LOOPBACK, self, SystemClock())
         self.fault = ""
+        self.rate_limit = b""
         self.held_requests = []
         self.requests = []
 
@@ -45,9 +46,10 @@
         self.requests.append(req)
         request_id = find_field(req.fields, b"request-id")
         stamp = (b"Server-Stamp", self.id.encode() + b"." + request_id)
-        answer = Response(
-            200, (stamp, (b"Request-Id", request_id)), self.id.encode().ljust(16)
-        )
+        fields = [stamp, (b"Request-Id", request_id)]
+        if self.rate_limit:
+            fields.append((b"Server-Limit", self.rate_limit))
+        answer = Response(200, tuple(fields), self.id.encode().ljust(16))
         if find_field(req.fields, b"expect-instance") != self.id.encode():
             req.reply(Response(421))
         elif self.fault == "shed":
@@ -384,6 +386,33 @@
     await wait_until(lambda: second.crashes.is_quarantined("fingerprint"))
 
 
+async def test_a_rate_limit_is_kept_and_its_end_is_known_to_all_gateways(
+    deployment, log
+):
+    # Guards against a target in need that gets its usual load, and against one that
+    # hardly gets requests after its need.
+    await deployment.add_gateway()
+    gateways = deployment.gateways
+    await wait_until(lambda: all(g.membership.member_count() == 2 for g in gateways))
+    deployment.targets[0].rate_limit = b"0.5"
+    for number in range(2):
+        status, fields, _ = await deployment.send_request("/one/x", gateway=number)
+        assert (status, fields["Server-Limit"]) == (200, "0.5")
+    status, fields, _ = await deployment.send_request("/one/x", "r-limited")
+    assert (status, float(fields["Retry-After"]) > 0) == (503, True)
+    metrics = gateways[0].metrics.render().decode()
+    assert "filbertshelf_rate_limited_targets 1.0" in metrics
+    deployment.targets[0].rate_limit = b""
+    first, second = (g.targets for g in gateways)
+    first._record_rate_limit(first._entries["i-1"], None, 0.0)
+    await wait_until(lambda: not second.rate_limited_count())
+    assert (await deployment.send_request("/one/x", "r2", gateway=1))[0] == 200
+    assert any(
+        line.get("event") == 209 and line["missing"] == ["shard-0: rate_limited"]
+        for line in log
+    )
+
+
 async def test_an_answer_clears_a_suspected_request_and_a_quarantined_one_is_refused(
     deployment,
 ):
