Log a restore of the platform and a content that was read and ignored

Callers of a route that was added after the store came back from an older copy got 404. The logs didn't tell that the revisions had gone back, nor that the whole content was read and dropped 478 times. Events 414 and 415 do; no decision uses the era yet.

--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -129,6 +129,8 @@
         self._platform_answered_at = -math.inf
         self._removals_unsure_until = -math.inf
         self._needs_snapshot = True
+        self._era: int | None = None
+        self._snapshot_ignored = False
         self._failures = 0
         self._fetching = False
         self._pushes = 0
@@ -204,10 +206,12 @@
                 self._needs_snapshot = True
                 return
         self._on_platform_answer(polled_at)
+        self._log_era(update)
         unsure = polled_at < self._removals_unsure_until
         before = self.directory.revision
         config_before = self._config
         self._apply(update, "platform", unsure)
+        self._log_ignored_snapshot(update)
         self._confirmed_at = max(self._confirmed_at, polled_at)
         # At startup nothing is pushed, because every instance reads the full content.
         if before:
@@ -216,6 +220,28 @@
                 PlatformUpdate(self.directory.changes_since(before), config), unsure
             )
 
+    def _log_era(self, update: PlatformUpdate) -> None:
+        before, self._era = self._era, update.directory.era
+        if before is not None and before != self._era:
+            events.emit(
+                events.PLATFORM_RESTORED,
+                before=before,
+                era=self._era,
+                revision=update.directory.revision,
+                held=self.directory.revision,
+            )
+
+    def _log_ignored_snapshot(self, update: PlatformUpdate) -> None:
+        """Log once that the whole content was read and didn't fit what is known."""
+        if self._needs_snapshot and not self._snapshot_ignored:
+            events.emit(
+                events.PLATFORM_SNAPSHOT_IGNORED,
+                era=update.directory.era,
+                revision=update.directory.revision,
+                held=self.directory.revision,
+            )
+        self._snapshot_ignored = self._needs_snapshot
+
     def _on_platform_answer(self, now: float) -> None:
         if self._failures:
             events.emit(
--- a/filbertshelf/events/configuration.py
+++ b/filbertshelf/events/configuration.py
@@ -104,3 +104,24 @@
     "reason",
     level=Level.WARNING,
 )
+
+PLATFORM_RESTORED = define(
+    414,
+    "platform-restored",
+    "The platform came back from an older copy: its revisions went back.",
+    "before",
+    "era",
+    "revision",
+    "held",
+    level=Level.WARNING,
+)
+
+PLATFORM_SNAPSHOT_IGNORED = define(
+    415,
+    "platform-snapshot-ignored",
+    "The platform's whole content was read and ignored, because a later one is known.",
+    "era",
+    "revision",
+    "held",
+    level=Level.WARNING,
+)
--- a/filbertshelf/platform/constants.py
+++ b/filbertshelf/platform/constants.py
@@ -24,5 +24,8 @@
 TARGET_PREFIX = "servers/"
 ALL_KEYS_PREFIX = ""
 
+ERA_HEADER = b"store-era"
+"""Counts how often the store was restored from an older copy; in lower case."""
+
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -21,11 +21,13 @@
 from filbertshelf.platform.constants import (
     ALL_KEYS_PREFIX,
     CONFIG_KEY,
+    ERA_HEADER,
     RANGE_PATH,
     TARGET_PREFIX,
     WATCH_PATH,
 )
 from filbertshelf.platform.entries import decode_target, is_utf8_encodable
+from filbertshelf.protocol.http_messages import HeaderField, find_field
 from filbertshelf.state.directory import DirectoryChange, TargetChange
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 from filbertshelf.transport.http1.fetch import Fetcher
@@ -39,6 +41,9 @@
 """Bytes of all pages together; thousands of targets and a configuration are less."""
 
 
+MAX_ERA_DIGITS = 9
+
+
 class StoreClient:
     """Reads a full copy of the store, then the changes since a revision."""
 
@@ -66,7 +71,7 @@
             items += page_items
             revision = revision or _store_revision(page)
             if not page.fields.get("hasMore") or not page_items:
-                return _decode_items(0, revision, items)
+                return _decode_items(0, revision, items, page.era)
             query["after"] = _last_key(page_items)
         raise PlatformContentError(f"the store has more than {MAX_PAGES} pages")
 
@@ -79,7 +84,7 @@
         query = {"prefix": ALL_KEYS_PREFIX, "after": str(after), "waitMs": "0"}
         page = await self._get(WATCH_PATH, query)
         revision = max(after, _store_revision(page))
-        return _decode_items(after, revision, _list_field(page, "events"))
+        return _decode_items(after, revision, _list_field(page, "events"), page.era)
 
     def close(self) -> None:
         """Close the connections."""
@@ -101,7 +106,7 @@
             ) from exc
         if not isinstance(fields, dict):
             raise PlatformContentError("the store's answer is not an object")
-        return _Page(fields, len(body))
+        return _Page(fields, len(body), _era(exchange.fields))
 
 
 @attrs.frozen
@@ -110,6 +115,17 @@
 
     fields: dict[str, Any]
     size: int
+    era: int
+
+
+def _era(fields: list[HeaderField]) -> int:
+    """Return the store's era, 0 if it names none."""
+    value = find_field(fields, ERA_HEADER)
+    if value is None:
+        return 0
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        raise PlatformContentError(f"the store's era is malformed: {value!r:.80}")
+    return int(value)
 
 
 def _list_field(page: _Page, name: str) -> list[Any]:
@@ -134,7 +150,9 @@
     raise PlatformContentError("no item of the store's page has a key")
 
 
-def _decode_items(since: int, revision: int, items: Iterable[Any]) -> PlatformUpdate:
+def _decode_items(
+    since: int, revision: int, items: Iterable[Any], era: int
+) -> PlatformUpdate:
     """Decode items or change events.
 
     Malformed ones are logged and ignored; a malformed target entry counts as deleted.
@@ -151,7 +169,7 @@
         elif key.startswith(TARGET_PREFIX):
             change = _decode_target_change(item, key.removeprefix(TARGET_PREFIX))
             changes[change.id] = change
-    directory = DirectoryChange(since, revision, tuple(changes.values()))
+    directory = DirectoryChange(since, revision, tuple(changes.values()), era)
     return PlatformUpdate(directory, config)
 
 
--- a/filbertshelf/state/directory.py
+++ b/filbertshelf/state/directory.py
@@ -40,11 +40,14 @@
     """The changes after revision `since` up to `revision`.
 
     With `since` 0 they are the whole directory, and absent targets were removed.
+    `era` counts how often the platform was restored from an older copy; each time its
+    revisions go back and are given out again.
     """
 
     since: int
     revision: int
     targets: tuple[TargetChange, ...]
+    era: int = 0
 
 
 class TargetDirectory:
