Accept updates of older builds, which name no era

A message without an era counts as the receiver's era until a restore was seen; after one it can't be told from older content.

--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -19,7 +19,12 @@
     PlatformError,
 )
 from filbertshelf.gateway_settings import GatewaySettings
-from filbertshelf.protocol.feed import FeedRequest, FeedUpdate, HeldConfig
+from filbertshelf.protocol.feed import (
+    UNKNOWN_ERA,
+    FeedRequest,
+    FeedUpdate,
+    HeldConfig,
+)
 from filbertshelf.state.directory import (
     DirectoryChange,
     TargetChange,
@@ -133,6 +138,7 @@
         self._platform_answered_at = -math.inf
         self._removals_unsure_until = -math.inf
         self._needs_snapshot = True
+        self._restored = False
         self._failures = 0
         self._fetching = False
         self._pushes = 0
@@ -292,6 +298,7 @@
             self.add_future(self._peers.notify_all(addresses, msg))
 
     async def _on_update(self, sender: Sender, msg: FeedUpdate) -> None:
+        msg = attrs.evolve(msg, era=self._era_of(msg))
         if self._must_fetch(msg):
             await self._fetch_from(sender.address)
         else:
@@ -300,6 +307,16 @@
             forwarded = attrs.evolve(msg, forward_to=(), age_s=self.age_s())
             self._notify(msg.forward_to[:MAX_FORWARDS], forwarded)
 
+    def _era_of(self, msg: FeedUpdate | FeedRequest) -> int:
+        """Return the era of a message; an older build sends none.
+
+        It doesn't notice a restore, so after one its content can't be told from older
+        content and counts as that.
+        """
+        if msg.era == UNKNOWN_ERA and not self._restored:
+            return self.directory.era
+        return msg.era
+
     def _must_fetch(self, msg: FeedUpdate) -> bool:
         """Return whether the message lacks content that its sender holds."""
         if not msg.config and msg.held_config.is_newer_than(self._held_config()):
@@ -341,7 +358,7 @@
         config = self._config
         if not self._held_config().is_newer_than(msg.held_config):
             config = None
-        changes = self.directory.changes_since(msg.revision, msg.era)
+        changes = self.directory.changes_since(msg.revision, self._era_of(msg))
         return self._message(PlatformUpdate(changes, config), self._removals_unsure())
 
     def _message(self, update: PlatformUpdate, unsure: bool) -> FeedUpdate:
@@ -377,6 +394,7 @@
         try:
             reply = await self._peers.request(address, request, FETCH_TIMEOUT_S)
             if isinstance(reply, FeedUpdate):
+                reply = attrs.evolve(reply, era=self._era_of(reply))
                 self._accept(reply, f"{address[0]}:{address[1]}")
         except FilbertshelfError as exc:
             self.log.debug("%s did not answer: %s", address, exc)
@@ -403,6 +421,7 @@
 
     def _on_restored(self, change: DirectoryChange, source: str) -> None:
         """Note that the platform came back from a copy that may lack live targets."""
+        self._restored = True
         self._removals_unsure_until = self._clock.monotonic() + REMOVAL_DELAY_S
         events.emit(
             events.PLATFORM_RESTORED,
--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -20,6 +20,10 @@
 """Limit of a decompressed field, as a small message can expand to a huge one."""
 
 
+UNKNOWN_ERA = 0
+"""The era in a message of an older build, and before the platform's first answer."""
+
+
 @attrs.frozen
 class HeldConfig:
     """Which configuration an instance holds; the version is 0 if it isn't known.
@@ -62,7 +66,7 @@
     age_s: float
     unsure: bool
     forward_to: tuple[Address, ...] = ()
-    era: int = 0
+    era: int = UNKNOWN_ERA
     config_version: int = 0
     sequences: tuple[int, ...] = ()
 
@@ -120,7 +124,7 @@
 
     revision: int
     config_revision: int
-    era: int = 0
+    era: int = UNKNOWN_ERA
     config_version: int = 0
 
     @property
--- a/test/coordination/test_restore.py
+++ b/test/coordination/test_restore.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from filbertshelf.coordination import feed as feed_module
+from filbertshelf.protocol.feed import FeedUpdate
 from test.coordination.feed_fleet import started_fleet
 
 
@@ -164,3 +166,27 @@
         await fleet.run(2.0)
         assert fleet.versions() == {8}
         assert fleet.platform.calls - before <= 10
+
+
+async def test_an_older_build_that_names_no_era_updates_its_peers(feed_fleet):
+    # Guards against targets that are dropped because an instance of an older build,
+    # which knows no eras, is the only one that reaches the platform.
+    platform = feed_fleet.platform
+    older = feed_fleet.feeds["n0"]._peers
+    real = older._deliver
+
+    async def deliver(address, msg):
+        changes = {"era": 0, "config_version": 0}
+        if isinstance(msg, FeedUpdate):
+            changes["sequences"] = ()
+        return await real(address, attrs.evolve(msg, **changes))
+
+    older._deliver = deliver
+    platform.unavailable_to = {f"n{number}" for number in range(1, 6)}
+    platform.publish(4)
+    platform.put("t2")
+    await feed_fleet.run(2.0)
+    assert feed_fleet.versions() == {4}
+    for feed in feed_fleet.feeds.values():
+        assert set(feed.directory.targets()) == {"t1", "t2"}
+        assert feed.age_s() < 2.5
