--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -12,6 +12,7 @@
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
+from filbertshelf.coordination.feed_config import Decoder, FeedConfig
 from filbertshelf.coordination.membership import Membership
 from filbertshelf.errors import (
     FilbertshelfError,
@@ -23,7 +24,6 @@
     UNKNOWN_ERA,
     FeedRequest,
     FeedUpdate,
-    HeldConfig,
 )
 from filbertshelf.state.directory import (
     DirectoryChange,
@@ -31,20 +31,12 @@
     TargetDirectory,
 )
 from filbertshelf.state.members import Address, Member, Status
-from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
+from filbertshelf.state.platform_update import PlatformUpdate
+from filbertshelf.state.poll_schedule import MAX_RANK, poll_due_at, retry_delay_s
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.update_tree import plan_branches
 from filbertshelf.transport.peers import Peers, Sender
 
-POLL_INTERVAL_S = 0.7
-"""Age of the last confirmation at which the first instance polls the platform."""
-
-RANK_DELAY_S = 0.35
-"""Additional delay per rank, to wait for an update from a lower-ranked instance."""
-
-MAX_RANK = 3
-"""Highest rank for the poll delay, so that no instance goes long without an update."""
-
 WAIT_CHECK_INTERVAL_S = 0.2
 """Interval at which a waiting instance checks whether to wait on."""
 
@@ -63,18 +55,6 @@
 MAX_PUSHED_BYTES = 4_096
 """Larger updates are announced, so that they are sent only to peers without them."""
 
-FIRST_RETRY_DELAY_S = 0.2
-SMALL_FLEET_MAX_RETRY_DELAY_S = 1.0
-"""The bounds of the retry delay after a failed poll, in a small fleet."""
-
-RETRY_DELAY_PER_MEMBER_S = 0.03
-"""Growth of the retry delay per member in a large fleet: a few dozen calls a second are
-enough to notice that the platform is back, and the instance that notices it updates the
-others."""
-
-MAX_RETRY_DELAY_S = 3.0
-"""Upper bound of the retry delay, because an instance may be cut off from all peers."""
-
 
 class PlatformSource(Protocol):
     """The interface of the platform's client."""
@@ -90,10 +70,6 @@
         """
 
 
-Decoder = Callable[[bytes], RouteTable]
-"""Parses the routes in a configuration; raises `PlatformContentError`."""
-
-
 @attrs.frozen
 class FeedListener:
     """Callbacks for a new configuration and for changed targets."""
@@ -122,18 +98,16 @@
         listener: FeedListener,
     ):
         super().__init__()
-        self.table: RouteTable | None = None
         self.directory = TargetDirectory()
+        self._config = FeedConfig(decode, listener.on_table)
         self._name = cfg.instance.name
         self._seeds = cfg.instance.peers
         self._clock = clock
         self._rng = rng
         self._source = source
-        self._decode = decode
         self._peers = peers
         self._membership = membership
         self._listener = listener
-        self._config: ConfigText | None = None
         self._confirmed_at = -math.inf
         self._platform_answered_at = -math.inf
         self._removals_unsure_until = -math.inf
@@ -145,6 +119,11 @@
         peers.register(FeedUpdate, self._on_update)
         peers.register(FeedRequest, self._on_update_request)
 
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the routes in force, None before the first configuration."""
+        return self._config.table
+
     @property
     def ready(self) -> bool:
         """Return whether a configuration and the targets are known."""
@@ -181,8 +160,7 @@
         """Return the seconds left to wait for an update from a peer."""
         if self._needs_snapshot:
             return 0.0
-        rank = min(MAX_RANK, self._rank())
-        due = self._confirmed_at + POLL_INTERVAL_S + rank * RANK_DELAY_S
+        due = poll_due_at(self._confirmed_at, self._rank())
         return due - self._clock.monotonic()
 
     def _rank(self) -> int:
@@ -220,12 +198,14 @@
         self._check_current(update)
         self._on_platform_answer(polled_at)
         before, era_before = self.directory.revision, self.directory.era
-        config_before = self._config
+        config_before = self._config.text
         self._apply(update, "platform", self._removals_unsure())
         self._confirmed_at = max(self._confirmed_at, polled_at)
         # At startup nothing is pushed, because every instance reads the full content.
         if before:
-            config = None if self._config is config_before else self._config
+            config = self._config.text
+            if config is config_before:
+                config = None
             changes = self.directory.changes_since(before, era_before)
             self._push(PlatformUpdate(changes, config), self._removals_unsure())
 
@@ -264,10 +244,8 @@
             events.emit(events.PLATFORM_UNAVAILABLE, reason=f"feed: {exc}")
         if not self.ready:
             await self._fetch_from_any()
-        cap = RETRY_DELAY_PER_MEMBER_S * self._membership.member_count()
-        cap = min(MAX_RETRY_DELAY_S, max(SMALL_FLEET_MAX_RETRY_DELAY_S, cap))
-        max_delay = min(cap, FIRST_RETRY_DELAY_S * 2**self._failures)
-        await self._clock.sleep(max_delay * self._rng.uniform(0.5, 1.0))
+        members = self._membership.member_count()
+        await self._clock.sleep(retry_delay_s(self._failures, members, self._rng))
 
     # Updates between peers.
 
@@ -319,7 +297,7 @@
 
     def _must_fetch(self, msg: FeedUpdate) -> bool:
         """Return whether the message lacks content that its sender holds."""
-        if not msg.config and msg.held_config.is_newer_than(self._held_config()):
+        if not msg.config and msg.held_config.is_newer_than(self._config.held):
             return True
         if msg.era == self.directory.era:
             return msg.since > self.directory.revision
@@ -328,7 +306,7 @@
     def _accept(self, msg: FeedUpdate, source: str) -> None:
         """Apply the content of a message and the time of its confirmation."""
         update = msg.update()
-        if not msg.held_config.is_newer_than(self._held_config()):
+        if not msg.held_config.is_newer_than(self._config.held):
             update = attrs.evolve(update, config=None)
         self._apply(update, source, msg.unsure)
         # A sender that doesn't know of a restore confirms an outdated content.
@@ -343,26 +321,21 @@
         return known >= (
             msg.era,
             msg.revision,
-        ) and not msg.held_config.is_newer_than(self._held_config())
-
-    def _held_config(self) -> HeldConfig:
-        if self._config is None or self.table is None:
-            return HeldConfig()
-        return HeldConfig(self._config.revision, self.table.version)
+        ) and not msg.held_config.is_newer_than(self._config.held)
 
     async def _on_update_request(
         self, sender: Sender, msg: FeedRequest
     ) -> FeedUpdate | None:
         if not self.ready:
             return None
-        config = self._config
-        if not self._held_config().is_newer_than(msg.held_config):
+        config = self._config.text
+        if not self._config.held.is_newer_than(msg.held_config):
             config = None
         changes = self.directory.changes_since(msg.revision, self._era_of(msg))
         return self._message(PlatformUpdate(changes, config), self._removals_unsure())
 
     def _message(self, update: PlatformUpdate, unsure: bool) -> FeedUpdate:
-        return FeedUpdate.of(update, self._held_config(), self.age_s(), unsure)
+        return FeedUpdate.of(update, self._config.held, self.age_s(), unsure)
 
     async def _fetch_from_any(self) -> None:
         """Fetch from a random member and from one of the addresses in the settings."""
@@ -387,7 +360,7 @@
             self._fetching = False
 
     async def _request_update(self, address: Address) -> None:
-        held = self._held_config()
+        held = self._config.held
         request = FeedRequest(
             self.directory.revision, held.revision, self.directory.era, held.version
         )
@@ -403,7 +376,7 @@
 
     def _apply(self, update: PlatformUpdate, source: str, unsure: bool) -> None:
         if update.config is not None:
-            self._apply_config(update.config, source)
+            self._config.apply(update.config, source)
         if self.directory.is_contiguous(update.directory):
             self._needs_snapshot = False
             if self.directory.revision and update.directory.era > self.directory.era:
@@ -438,37 +411,3 @@
         listed = self.directory.targets()
         still_missing = [change for change in removed if change.id not in listed]
         self._listener.on_targets(still_missing)
-
-    def _apply_config(self, config: ConfigText, source: str) -> None:
-        if self._config is not None and config.text == self._config.text:
-            # The operator writes it again after a restore of the platform.
-            self._config = config
-            return
-        try:
-            table = self._decode(config.text)
-        except PlatformError as exc:
-            events.emit(
-                events.CONFIG_REFUSED,
-                document="routes",
-                revision=config.revision,
-                reason=str(exc),
-            )
-            return
-        if self.table is not None and table.version < self.table.version:
-            events.emit(
-                events.CONFIG_OLDER,
-                document="routes",
-                offered=str(table.version),
-                held=str(self.table.version),
-            )
-            return
-        self._config = config
-        self.table = table
-        events.emit(
-            events.CONFIG_ACCEPTED,
-            document="routes",
-            revision=table.version,
-            digest=str(config.revision),
-            source=source,
-        )
-        self._listener.on_table(table)
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -13,12 +13,8 @@
 from filbertshelf import __version__, events
 from filbertshelf.clock import Clock, SystemClock
 from filbertshelf.coordination.delegation import Delegation
-from filbertshelf.coordination.feed import (
-    Decoder,
-    Feed,
-    FeedListener,
-    PlatformSource,
-)
+from filbertshelf.coordination.feed import Feed, FeedListener, PlatformSource
+from filbertshelf.coordination.feed_config import Decoder
 from filbertshelf.coordination.listed_targets import ListedTargets
 from filbertshelf.coordination.membership import Membership
 from filbertshelf.coordination.notices import Notices
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -5,12 +5,14 @@
 import collections
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
-from typing import Protocol
-
-import attrs
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
+from filbertshelf.coordination.target_entries import (
+    Pool,
+    ServiceTargets,
+    TargetEntry,
+)
 from filbertshelf.errors import MessageError
 from filbertshelf.gateway_settings import Address, GatewaySettings
 from filbertshelf.protocol.target_responses import Classification, parse_rate_limit
@@ -30,9 +32,6 @@
 CONNECTION_SHARE = 0.9
 """The fraction of a target's connections that is used; a busy target accepts fewer."""
 
-DEFAULT_CONNECTIONS = 32
-"""Connection limit of a target whose service is in no configuration yet."""
-
 UNKNOWN_ROLE = FleetRole(
     instances=UNKNOWN_FLEET_SIZE,
     gather_instances=UNKNOWN_FLEET_SIZE,
@@ -60,71 +59,6 @@
 }
 
 
-class Pool(Protocol):
-    """The interface of the connections to one target."""
-
-    quota: int
-
-    def has_room(self) -> bool:
-        """Return whether an exchange would start without waiting."""
-
-    def submit(self, exchange: Exchange) -> None:
-        """Start an exchange, or queue it."""
-
-    def cancel(self, exchange: Exchange) -> None:
-        """Cancel an exchange."""
-
-    def warm_up(self) -> None:
-        """Open a connection before it is needed."""
-
-    def check_alive(self, on_dead: Callable[[], None]) -> None:
-        """Call `on_dead` if the address accepts no connection."""
-
-    def close(self) -> None:
-        """Close the connections once they are idle."""
-
-
-@attrs.define(eq=False)
-class TargetEntry:
-    """One listed target with its connections and observations."""
-
-    listed: ListedTarget
-    pool: Pool
-    candidate: Candidate
-    rate: TargetRate
-    running: dict[Exchange, float] = attrs.field(factory=dict)
-
-    @property
-    def id(self) -> str:
-        """Return the target's id."""
-        return self.listed.id
-
-    @property
-    def state(self) -> TargetState:
-        """Return the observed state of the target."""
-        return self.candidate.state
-
-    def refreshed_candidate(self) -> Candidate:
-        """Return the candidate, updated with the current state of the connections."""
-        self.candidate.can_connect = self.pool.has_room()
-        self.candidate.oldest_start = next(iter(self.running.values()), None)
-        return self.candidate
-
-
-@attrs.define(eq=False)
-class ServiceTargets:
-    """The targets of one service and the budget for extra sub-requests to it."""
-
-    name: str
-    budget: RetryWindow
-    connections: int = DEFAULT_CONNECTIONS
-    is_shard: bool = False
-    """Whether queries over many shards use the service."""
-    is_single_target: bool = False
-    """Whether requests to a single target use the service."""
-    entries: dict[str, TargetEntry] = attrs.field(factory=dict)
-
-
 class ListedTargets:
     """Owns the connections to all listed targets, grouped by service."""
 
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -9,15 +9,13 @@
 import attrs
 
 from filbertshelf import events
-from filbertshelf.coordination.listed_targets import (
-    TargetEntry,
-    classify_without_response,
-)
+from filbertshelf.coordination.listed_targets import classify_without_response
 from filbertshelf.coordination.routed_request import (
     RoutedRequest,
     RoutingContext,
     Timer,
 )
+from filbertshelf.coordination.target_entries import TargetEntry
 from filbertshelf.protocol.http_messages import Response
 from filbertshelf.protocol.target_responses import Classification, error_response
 from filbertshelf.state.outcome import Reason, Result
--- /dev/null
+++ b/filbertshelf/coordination/target_entries.py
@@ -0,0 +1,83 @@
+"""Listed targets of a service with their connections and observations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from filbertshelf.state.directory import ListedTarget
+from filbertshelf.state.replicas import TargetState
+from filbertshelf.state.retry_window import RetryWindow
+from filbertshelf.state.selection import Candidate
+from filbertshelf.state.target_rate import TargetRate
+from filbertshelf.transport.http1.client import Exchange
+
+DEFAULT_CONNECTIONS = 32
+"""Connection limit of a target whose service is in no configuration yet."""
+
+
+class Pool(Protocol):
+    """The interface of the connections to one target."""
+
+    quota: int
+
+    def has_room(self) -> bool:
+        """Return whether an exchange would start without waiting."""
+
+    def submit(self, exchange: Exchange) -> None:
+        """Start an exchange, or queue it."""
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Cancel an exchange."""
+
+    def warm_up(self) -> None:
+        """Open a connection before it is needed."""
+
+    def check_alive(self, on_dead: Callable[[], None]) -> None:
+        """Call `on_dead` if the address accepts no connection."""
+
+    def close(self) -> None:
+        """Close the connections once they are idle."""
+
+
+@attrs.define(eq=False)
+class TargetEntry:
+    """One listed target with its connections and observations."""
+
+    listed: ListedTarget
+    pool: Pool
+    candidate: Candidate
+    rate: TargetRate
+    running: dict[Exchange, float] = attrs.field(factory=dict)
+
+    @property
+    def id(self) -> str:
+        """Return the target's id."""
+        return self.listed.id
+
+    @property
+    def state(self) -> TargetState:
+        """Return the observed state of the target."""
+        return self.candidate.state
+
+    def refreshed_candidate(self) -> Candidate:
+        """Return the candidate, updated with the current state of the connections."""
+        self.candidate.can_connect = self.pool.has_room()
+        self.candidate.oldest_start = next(iter(self.running.values()), None)
+        return self.candidate
+
+
+@attrs.define(eq=False)
+class ServiceTargets:
+    """The targets of one service and the budget for extra sub-requests to it."""
+
+    name: str
+    budget: RetryWindow
+    connections: int = DEFAULT_CONNECTIONS
+    is_shard: bool = False
+    """Whether queries over many shards use the service."""
+    is_single_target: bool = False
+    """Whether requests to a single target use the service."""
+    entries: dict[str, TargetEntry] = attrs.field(factory=dict)
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -252,7 +252,7 @@
 async def test_an_unknown_route_is_404_and_no_configuration_is_503(deployment):
     # Guards against a 404 from an instance that knows no configuration yet.
     assert (await deployment.send_request("/other/x"))[0] == 404
-    deployment.gateways[0].feed.table = None
+    deployment.gateways[0].feed._config.table = None
     status, fields, _ = await deployment.send_request("/one/x")
     assert status == 503
     assert float(fields["Retry-After"]) > 0
