Let the soak restore the store, and let its targets name rate limits

In the fault phase its store now comes back from copies of different age, and only what was lost is written again; in both phases two targets at a time name a rate limit, and a check counts what they get from gateways that had passed on an answer with it. GATEWAYS sets the size of a soak.

--- a/Makefile
+++ b/Makefile
@@ -31,12 +31,14 @@
 test: $(STAMP)
 	$(VENV)/bin/python -m pytest -q -rx
 
-# Plays soaks of real processes with faults: make soak FIRST=100 SEEDS=50
+# Plays soaks of real processes with faults: make soak FIRST=100 SEEDS=50 GATEWAYS=4
 FIRST ?= 1
 SEEDS ?= 50
 AT_ONCE ?= 3
+GATEWAYS ?= 4
 soak: $(STAMP)
-	$(VENV)/bin/python -m test.soak --first=$(FIRST) --seeds=$(SEEDS) --at_once=$(AT_ONCE)
+	$(VENV)/bin/python -m test.soak --first=$(FIRST) --seeds=$(SEEDS) --at_once=$(AT_ONCE) \
+		--gateways=$(GATEWAYS)
 
 # Runs this build beside an older one, whose checkout OLD names: make mixed OLD=FOLDER
 mixed: $(STAMP)
--- a/test/platform/store_standin.py
+++ b/test/platform/store_standin.py
@@ -53,6 +53,7 @@
         """Come back from a copy at a revision; its later revisions are given again."""
         self.era += 1
         self.revision = revision
+        self.compacted_revision = min(self.compacted_revision, revision)
         self.events = [e for e in self.events if e["modRevision"] <= revision]
         self.items = {}
         for event in self.events:
--- a/test/soak/__main__.py
+++ b/test/soak/__main__.py
@@ -16,11 +16,13 @@
 SEEDS = flags.DEFINE_integer("seeds", 1, "The number of seeds to run.")
 AT_ONCE = flags.DEFINE_integer("at_once", 1, "The number of concurrent soaks.")
 
+GATEWAYS = flags.DEFINE_integer("gateways", 4, "The gateways of each soak.")
+
 
 async def _run_seed(seed: int, semaphore: asyncio.Semaphore) -> bool:
     async with semaphore:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations = await run_soak(seed, folder, Phases())
+        violations = await run_soak(seed, folder, Phases(gateways=GATEWAYS.value))
     print(f"seed {seed}: {len(violations)} violations, logs in {folder}", flush=True)
     for violation in violations[:10]:
         print(f"  {violation:.600}", flush=True)
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable, Iterator
 
-from test.soak.history import CallerRequest, History
+from test.soak.history import CallerRequest, History, RateLimit
 from test.soak.targets import RECORD_BYTES
 
 MIN_COVERAGE = 0.75
@@ -21,6 +21,19 @@
 DEADLINE_SLACK_S = 0.5
 """How long after its deadline an answer is not counted as late, in seconds."""
 
+LIMIT_WINDOW_S = 4.0
+"""The span in which a target counts the requests above its rate limit."""
+
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+"""How much more than its limit allows a target may get in one span."""
+
+LEARNING_S = 4.0
+"""How long after a target first names a limit nothing is counted, in seconds."""
+
+TOLD_SLACK_S = 0.5
+"""How long after an answer with the limit a process may go on, in seconds."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and will not run."""
 
@@ -140,6 +153,51 @@
         yield f"CONFIG held {len(late)} of {len(history.requests)}: {late[0]}"
 
 
+def check_rate_limits(history: History) -> Iterator[str]:
+    """Yield a line for each target that got more requests than it named."""
+    for limit in history.rate_limits:
+        allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        times = sorted(_limited_run_times(history, limit))
+        for first in times:
+            count = sum(first <= at < first + LIMIT_WINDOW_S for at in times)
+            if count > allowed:
+                yield f"LIMIT {count} of {allowed:.1f} from {first:.3f}: {limit}"
+                break
+
+
+def _limited_run_times(history: History, limit: RateLimit) -> Iterator[float]:
+    """Yield the starts of runs that a gateway knew the limit for.
+
+    Those are of processes that had passed on an answer with the limit.
+    """
+    told_at = _told_at(history, limit)
+    requests_by_id = {request.request_id: request for request in history.requests}
+    for request_id, runs in history.runs.items():
+        request = requests_by_id.get(request_id)
+        if request is None:
+            continue
+        told = told_at.get((request.gateway, request.boot), math.inf) + TOLD_SLACK_S
+        for run in runs:
+            since = max(told, limit.named_at + LEARNING_S)
+            if run.target == limit.target and since <= run.started_at < limit.ended_at:
+                yield run.started_at
+
+
+def _told_at(history: History, limit: RateLimit) -> dict[tuple[str, int], float]:
+    """Return when each gateway process first passed on an answer with the limit."""
+    told_at: dict[tuple[str, int], float] = {}
+    for request in history.requests:
+        stamps = (request.stamp, *request.part_stamps)
+        if request.status != 200 or not any(
+            stamp.startswith(f"{limit.target}.") for stamp in stamps
+        ):
+            continue
+        if limit.named_at <= request.sent_at and request.ended_at < limit.ended_at:
+            process = (request.gateway, request.boot)
+            told_at[process] = min(told_at.get(process, math.inf), request.ended_at)
+    return told_at
+
+
 CHECKS: tuple[Callable[[History], Iterator[str]], ...] = (
     check_bookings_run_at_most_once,
     check_refused_bookings_did_not_run,
@@ -149,6 +207,7 @@
     check_targets_per_request,
     check_versions_do_not_decrease,
     check_deadlines,
+    check_rate_limits,
 )
 
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -20,6 +20,9 @@
 DRAIN_PERIOD_S = 3.0
 """How long a target keeps serving after the store lists it as draining, in seconds."""
 
+LEASE_S = 3.0
+"""How long the store lists a target that writes no more, in seconds."""
+
 MAX_CONNECTIONS = 60
 
 INTERPRETER_START_S = 1.0
@@ -47,6 +50,9 @@
         ]
         self.tasks: set[asyncio.Task] = set()
         self.allow_early_reloads = True
+        self.first_revision = 0
+        """The store's revision after the start; all copies are of later ones."""
+        self._config_revision = 0
         self._version = 0
         self._shards = self._new_shard_names()
 
@@ -58,6 +64,7 @@
         for service in ("desk", *self._shards):
             await self.add_targets(service)
         await self.publish_version()
+        self.first_revision = self.store.revision
         seeds = [gateway.control_address for gateway in self.gateways[:3]]
         for gateway in self.gateways:
             gateway.store_proxy = Proxy(self.store_server.address)
@@ -115,7 +122,9 @@
             self._list_target(target)
 
     def _list_target(self, target: Target) -> None:
+        target.sequence += 1
         self.store.put(f"servers/{target.id}", target.store_entry())
+        target.listed_revision = self.store.revision
 
     async def replace_target(self, target: Target, announce: bool = True) -> None:
         """Start another target of the service, drain the given one and stop it.
@@ -128,7 +137,9 @@
             target.state = "draining"
             self._list_target(target)
         else:
-            self.store.delete(f"servers/{target.id}")
+            target.state = "gone"
+            if f"servers/{target.id}" in self.store.items:
+                self.store.delete(f"servers/{target.id}")
         await asyncio.sleep(DRAIN_PERIOD_S + 1.0)
         await self.crash_target(target)
 
@@ -147,7 +158,35 @@
         await self.add_targets(moving_service)
         config = Config(self._version, moving_service, self._shards, self.history.now())
         self.history.configs.append(config)
+        self._write_config(config)
+
+    def _write_config(self, config: Config) -> None:
         self.store.put("op/config", self._config_document(config))
+        self._config_revision = self.store.revision
+
+    async def restore_store(self, revision: int, rewrite_after_s: float) -> None:
+        """Bring the store back from a copy, and write again what it lost.
+
+        Entries of targets that have left since the copy expire some seconds later.
+        """
+        self.store.restore(revision)
+        await asyncio.sleep(rewrite_after_s)
+        if not self._holds("op/config", self._config_revision):
+            self._write_config(self.history.configs[-1])
+        for target in self.targets:
+            key = f"servers/{target.id}"
+            if target.state != "gone" and not self._holds(key, target.listed_revision):
+                self._list_target(target)
+        await asyncio.sleep(LEASE_S)
+        live = {f"servers/{target.id}" for target in self.targets}
+        for key in list(self.store.items):
+            if key.startswith("servers/") and key not in live:
+                self.store.delete(key)
+
+    def _holds(self, key: str, revision: int) -> bool:
+        """Return whether the store still has what was written at a revision."""
+        item = self.store.items.get(key)
+        return item is not None and item["modRevision"] == revision
 
     async def reshard(self) -> None:
         """Start new shards, publish them after a delay, then drain the old ones."""
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -42,6 +42,16 @@
     body: bytes
 
 
+@attrs.define
+class RateLimit:
+    """The requests a second that a target named for some time, for all gateways."""
+
+    target: str
+    per_s: float
+    named_at: float
+    ended_at: float = float("inf")
+
+
 @attrs.define
 class CallerRequest:
     """One request of a caller and its result.
@@ -85,6 +95,7 @@
     )
     answers: dict[str, Answer] = attrs.field(factory=dict)
     ended_targets: set[str] = attrs.field(factory=set)
+    rate_limits: list[RateLimit] = attrs.field(factory=list)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -44,18 +44,19 @@
 
 @attrs.frozen
 class Phases:
-    """The durations of the phases of a soak, in seconds."""
+    """The durations of the phases of a soak, in seconds, and its size."""
 
     maintenance_s: float = 8.0
     faults_s: float = 10.0
     measured_s: float = 4.0
     allow_early_reloads: bool = True
     """Whether SIGHUP is also sent to a process whose interpreter has not started."""
+    gateways: int = 4
 
 
 async def run_soak(seed: int, folder: Path, phases: Phases) -> list[str]:
     """Run a soak and return one line for each violation of a guarantee."""
-    fleet = SoakFleet(seed, folder)
+    fleet = SoakFleet(seed, folder, phases.gateways)
     fleet.allow_early_reloads = phases.allow_early_reloads
     history = fleet.history
     violations: list[str] = []
@@ -65,6 +66,8 @@
         callers = [Caller(history, fleet.gateways, seed + n) for n in range(CALLERS)]
         for caller in callers:
             fleet.spawn(caller.run())
+        faults_end = start + phases.maintenance_s + MAINTENANCE_END_S + phases.faults_s
+        fleet.spawn(schedule.limit_targets(fleet, faults_end))
         await schedule.run_maintenance(fleet, start + phases.maintenance_s)
         await asyncio.sleep(MAINTENANCE_END_S)
         violations += lost_during_maintenance(history, start, history.now() - 3.0)
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from test.soak.fleet import SoakFleet
+from test.soak.history import RateLimit
 from test.soak.proxy import ENDLESS_BYTES, Proxy
 
 Step = Callable[[SoakFleet], Awaitable[None]]
@@ -164,9 +165,39 @@
             proxy.endless = ""
 
 
+async def _restore_store(fleet: SoakFleet, until: float) -> None:
+    """Let the store come back from older copies; the choices have a generator too."""
+    rng = random.Random(f"restores of {fleet.seed}")
+    while fleet.history.now() < until:
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+        fleet.store.fault = "silent"
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        fleet.store.fault = ""
+        copy = max(fleet.first_revision, fleet.store.revision - rng.randint(0, 15))
+        await fleet.restore_store(copy, rng.uniform(0.0, 1.5))
+
+
+async def limit_targets(fleet: SoakFleet, until: float) -> None:
+    """Let targets name rate limits until a monotonic time, two at a time."""
+    rng = random.Random(f"limits of {fleet.seed}")
+    while fleet.history.now() < until:
+        chosen = rng.sample(fleet.targets, 2)
+        for target in chosen:
+            limit = RateLimit(
+                target.id, rng.choice((0.5, 2.0, 8.0)), fleet.history.now()
+            )
+            fleet.history.rate_limits.append(limit)
+            target.rate_limit = limit
+        await asyncio.sleep(rng.uniform(4.0, 12.0))
+        for target in chosen:
+            target.rate_limit.ended_at = fleet.history.now()
+            target.rate_limit = None
+
+
 async def run_faults(fleet: SoakFleet, until: float) -> None:
     """Run overlapping faults and maintenance steps until a monotonic time."""
     fleet.spawn(_send_endless_answers(fleet, until))
+    fleet.spawn(_restore_store(fleet, until))
     await _run_steps(fleet, (*FAULTS, *FAULTS, *MAINTENANCE), until, (0.1, 0.8))
 
 
--- a/test/soak/targets.py
+++ b/test/soak/targets.py
@@ -11,7 +11,7 @@
 from filbertshelf.protocol.http_messages import Response, find_field
 from filbertshelf.state.routing import Limits
 from filbertshelf.transport.http1.server import HttpServer, Request
-from test.soak.history import Answer, History, Run
+from test.soak.history import Answer, History, RateLimit, Run
 from test.soak.proxy import Proxy
 
 SLOTS = 2
@@ -41,6 +41,12 @@
         self.failure = ""
         """Empty for none, "error" for status 500, "lost" to run without an answer."""
         self.state = "ready"
+        """As in the store, or "gone" if it left without an announcement."""
+        self.listed_revision = 0
+        """The store's revision of its last entry."""
+        self.sequence = 0
+        """Counts what it has written to the store."""
+        self.rate_limit: RateLimit | None = None
         self.server = HttpServer(("127.0.0.1", 0), self, SystemClock())
         self.proxy: Proxy | None = None
         self._history = history
@@ -71,7 +77,7 @@
             "slots": SLOTS,
             "state": self.state,
             "coldRemainingMs": 0,
-            "seq": 1,
+            "seq": self.sequence,
             "born": 1_768_766_353_410,
         }
 
@@ -120,11 +126,13 @@
         self._history.answers[stamp] = Answer(
             stamp, request_id, self.service, status, body
         )
-        fields = (
+        fields = [
             (b"Server-Stamp", stamp.encode()),
             (b"Request-Id", request_id.encode()),
-        )
-        req.reply(Response(status, fields, body))
+        ]
+        if self.rate_limit is not None:
+            fields.append((b"Server-Limit", b"%.1f" % self.rate_limit.per_s))
+        req.reply(Response(status, tuple(fields), body))
 
 
 def records(service: str, request_id: str) -> bytes:
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -11,7 +11,7 @@
     lost_during_maintenance,
     served_share,
 )
-from test.soak.history import Answer, CallerRequest, Config, History, Run
+from test.soak.history import Answer, CallerRequest, Config, History, RateLimit, Run
 from test.soak.targets import RECORD_BYTES, records
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -81,6 +81,25 @@
     return make_history(make_request("one", **{**values, **changes}), answers=[answer])
 
 
+def limited_history(requests: int, told: bool = True) -> History:
+    """Return a history with requests to a target that named one request a second."""
+    answer = attrs.evolve(make_answer("t1.1", "desk", 10_000), body=b"")
+    first = make_request(
+        "one", 10_000, status=200, stamp="t1.1", sent_at=1.0, ended_at=1.1
+    )
+    if not told:
+        first.status, first.stamp = 503, ""
+    numbers = range(1, requests + 1)
+    history = make_history(
+        first,
+        *(make_request("one", number) for number in numbers),
+        runs=[make_run("desk", n, started_at=10.0 + n / 100) for n in numbers],
+        answers=[answer],
+    )
+    history.rate_limits.append(RateLimit("t1", 1.0, 0.5))
+    return history
+
+
 BOOKING = {"method": b"POST", "path": b"/book/1"}
 VIOLATING_HISTORIES = {
     "TWICE": make_history(make_request("book"), runs=[make_run("desk", **BOOKING)] * 2),
@@ -115,6 +134,7 @@
             for copy in range(3)
         ],
     ),
+    "LIMIT": limited_history(12),
     "CONFIG back": make_history(
         make_request("move", 1),
         make_request("move", 2),
@@ -137,7 +157,14 @@
 
 
 @pytest.mark.parametrize(
-    "history", [gathered_history(), gathered_history(3), single_history()]
+    "history",
+    [
+        gathered_history(),
+        gathered_history(3),
+        single_history(),
+        limited_history(11),
+        limited_history(40, told=False),
+    ],
 )
 def test_a_correct_history_has_no_violations(history):
     assert find_violations(history) == []
