Move the choice of a replica to a module of its own

state/replicas had the observations of one target and the choice between several; the choice is in state/replica_choice now.

--- a/filbertshelf/bench/decisions.py
+++ b/filbertshelf/bench/decisions.py
@@ -15,7 +15,8 @@
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.publication import Fleet, Target
 from filbertshelf.state.quarantine import Quarantine
-from filbertshelf.state.replicas import TargetState, choose_random, choose_replica
+from filbertshelf.state.replica_choice import choose_random, choose_replica
+from filbertshelf.state.replicas import TargetState
 
 CALLS = 20_000
 ROUNDS = 5
--- a/filbertshelf/bench/query_cost.py
+++ b/filbertshelf/bench/query_cost.py
@@ -36,7 +36,7 @@
 from filbertshelf.state.plan import make_plan
 from filbertshelf.state.publication import Publication, parse_publication
 from filbertshelf.state.quarantine import Quarantine
-from filbertshelf.state.replicas import choose_replica
+from filbertshelf.state.replica_choice import choose_replica
 from filbertshelf.transport.target_link import Call
 
 SERVICE = "capacity"
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -17,12 +17,8 @@
 from filbertshelf.state.limits import AdaptiveLimit, connection_quota
 from filbertshelf.state.outcome import Attempt, Reason, Result
 from filbertshelf.state.publication import Fleet, Publication, Target
-from filbertshelf.state.replicas import (
-    ReplicaChoice,
-    TargetState,
-    choose_random,
-    choose_replica,
-)
+from filbertshelf.state.replica_choice import choose_random, choose_replica
+from filbertshelf.state.replicas import ReplicaChoice, TargetState
 from filbertshelf.transport.target_link import Call, TargetLink, TargetReport
 
 # The rate for all idle targets together, so the cost doesn't grow with their number.
