--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,15 +19,14 @@
 EXTRA_SHARE = 0.03
 """The share of its answers that a faulty leaf sends again late."""
 
-LEAFS, EXTRA_LEAFS, SHED_LEAFS = 5, 3, 4
-"""How many leafs there are, and how many have each fault: 0.6 and 0.8 of them."""
-
-SHED_SHARE = 0.6
-"""The share of the requests that a shedding leaf refuses."""
+LEAFS, EXTRA_LEAFS = 5, 3
+"""How many leafs there are, and how many of them, 0.6, send such answers."""
 
+WORK_S, SLOTS, QUEUE = 0.04, 2, 2
+GATEWAYS = 12
 TROUBLE_S = 5.0
 ROUNDS = 13
-CALLERS = 32
+CALLERS = 24
 DEADLINE_S = 5.0
 PROMISES = (408, 421, 429, 503)
 
@@ -36,7 +35,6 @@
     """A leaf that may send an answer a second time, before the next one."""
 
     faulty = False
-    shedding = False
     extras = 0
 
     def __init__(self, *args, **kwargs):
@@ -55,12 +53,6 @@
             self.record.add(f"leaf {self.id} sends an extra answer late: {first}")
             writer.write(late)
 
-    async def run(self, request: Message, request_id: str, left_s: float) -> bytes:
-        """Refuse a share of the requests while the leaf sheds, and run the others."""
-        if self.shedding and self._rng.random() < SHED_SHARE:
-            return self.refuse(request_id)
-        return await super().run(request, request_id, left_s)
-
     async def answer(self, writer: asyncio.StreamWriter, request: Message) -> None:
         """Answer, and remember some answers to send them again."""
         data = await self.respond(request)
@@ -72,19 +64,19 @@
 
 async def case(fleet: Fleet) -> int:
     """Press unsafe requests on a small service, some of whose leafs are faulty."""
-    leafs = [FaultyLeaf("cabina", fleet.record, 0.04, 3, 12) for _ in range(LEAFS)]
-    routes = [route("ficha", "unsafe", 5000, service="cabina")]
-    if not await fleet.start(leafs, routes, gateways=16):
+    leafs = [
+        FaultyLeaf("cabina", fleet.record, WORK_S, SLOTS, QUEUE) for _ in range(LEAFS)
+    ]
+    routes = [route("ficha", "unsafe", 5000, service="cabina", maxAttempts=1)]
+    if not await fleet.start(leafs, routes, gateways=GATEWAYS):
         return NOT_RUN
     answers: dict[str, int | None] = {}
     for _ in range(ROUNDS):
         for leaf in leafs[:EXTRA_LEAFS]:
             leaf.faulty = fleet.trouble
-        for leaf in leafs[:SHED_LEAFS]:
-            leaf.shedding = fleet.trouble
         await press(fleet, answers, TROUBLE_S)
         for leaf in leafs:
-            leaf.faulty = leaf.shedding = False
+            leaf.faulty = False
         await press(fleet, answers, 1.0)
     return judge(fleet, answers)
 
