Answer the requests that a stopping instance can't finish

Cause: `Gateway.on_stop` left unfinished requests to the services that stop.

Now the router ends each of them just before the close: 503 if no target can have run it, else 502, and a partial answer where enough shards have answered. The stop waits for requests of other instances too. Requests that were pipelined behind the last answer are answered. The own interface, whose handlers were cancelled, had the same fault: 503 for those that wait for admission, 504 for the others.

--- a/filbertshelf/coordination/admission.py
+++ b/filbertshelf/coordination/admission.py
@@ -6,7 +6,7 @@
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
-from filbertshelf.errors import OverloadedError
+from filbertshelf.errors import OverloadedError, StoppingError
 from filbertshelf.metrics import Metrics
 from filbertshelf.settings import Settings
 from filbertshelf.state.admission import AdmissionQueue, PendingRequest, Verdict
@@ -58,7 +58,7 @@
             self._stop_waiting(request_id, fut)
             reason = "the deadline passed in the queue"
             raise self._overloaded_error(request_id, reason) from exc
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, StoppingError):
             self._stop_waiting(request_id, fut)
             raise
         finally:
@@ -71,6 +71,23 @@
         else:
             self._queue.withdraw(request_id)
 
+    async def close(self) -> None:
+        """Refuse all waiting requests, because the instance stops.
+
+        Returns once they have stopped waiting.
+        """
+        waiting = list(self._futures.values())
+        for fut in waiting:
+            if not fut.done():
+                fut.set_exception(
+                    StoppingError(
+                        "this instance stopped before the request could run",
+                        "send the request to another instance",
+                    )
+                )
+        # The requests wait for these futures too, and their tasks run first.
+        await asyncio.gather(*waiting, return_exceptions=True)
+
     def release(self, duration: float, reflects_load: bool = True) -> None:
         """Free a place after `duration` seconds of work and start queued requests.
 
--- a/filbertshelf/coordination/delegated_request.py
+++ b/filbertshelf/coordination/delegated_request.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from filbertshelf import events
+from filbertshelf.coordination.call_results import NO_TARGET_RETRY_AFTER_S
 from filbertshelf.coordination.delegation import (
     AVOID_REFUSED_S,
     Delegation,
@@ -172,6 +173,18 @@
         if self._context.clock.monotonic() >= self._request.deadline:
             self._on_deadline()
 
+    def on_stop(self) -> None:
+        """End the request now, because this instance stops."""
+        if self._ended:
+            return
+        if self._member is None:
+            refusal = error_response(503, NO_TARGET_RETRY_AFTER_S)
+            self._finish(RoutedResult(refusal, "not run", 0, 0))
+            return
+        # The member may be running the request.
+        self._delegation.notify_cancelled(self._member, self._key)
+        self._finish(RoutedResult(error_response(502), "unknown", 0, 0))
+
     def _on_answer(self, msg: DelegationAnswer) -> None:
         response = Response(msg.status, msg.fields, msg.body)
         self._finish(
--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from filbertshelf.coordination.call_results import (
+    Refusal,
     make_refusal,
     slowest_target,
     targets_asked_if_movable,
@@ -64,6 +65,12 @@
         if self._request.route.repeat is Repeat.IDEMPOTENT:
             self._context.call_later(CLEANUP_DELAY_S, self._call.cancel)
 
+    def on_stop(self) -> None:
+        """Refuse the request, because this instance stops."""
+        if not self._ended:
+            self._call.stop()
+            self._refuse(make_refusal([self._call]))
+
     def hand_over(self) -> int | None:
         """Stop, so that another instance can run the request.
 
@@ -99,8 +106,7 @@
             response = Response(failure.status, fields, failure.response_body)
             self._finish(response, "target failed")
         else:
-            refusal = make_refusal([call])
-            self._finish(refusal.response, refusal.outcome)
+            self._refuse(make_refusal([call]))
 
     def on_resume(self) -> None:
         """End the request if its deadline passed while the process was paused."""
@@ -126,7 +132,9 @@
 
     def _on_deadline(self) -> None:
         self._call.stop()
-        refusal = make_refusal([self._call], timed_out=True)
+        self._refuse(make_refusal([self._call], timed_out=True))
+
+    def _refuse(self, refusal: Refusal) -> None:
         self._finish(refusal.response, refusal.outcome)
 
     def _finish(self, response: Response, outcome: str) -> None:
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -367,11 +367,18 @@
         await self.membership.leave()
         await self.clock.sleep(self.cfg.stop_serve_s)
         self.server.stop_listening()
-        while self.server.in_flight and self.clock.monotonic() < deadline:
+        while self._has_unfinished_requests and self.clock.monotonic() < deadline:
             await self.clock.sleep(DRAIN_CHECK_INTERVAL_S)
         events.emit(events.INSTANCE_STOPPED, in_flight=self.server.in_flight)
+        # What can't be finished any more is answered before its connection is closed.
+        self.router.close()
         self.targets.close()
 
+    @property
+    def _has_unfinished_requests(self) -> bool:
+        """Return whether requests of callers or of other instances have not ended."""
+        return bool(self.server.in_flight) or self.router.has_runs
+
 
 def _call_later(seconds: float, func: Callable[[], None]) -> Timer:
     return asyncio.get_running_loop().call_later(seconds, func)
--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -93,6 +93,20 @@
         if self._context.clock.monotonic() >= self._request.deadline:
             self._on_deadline()
 
+    def on_stop(self) -> None:
+        """Answer with the shards that have answered, because this instance stops.
+
+        If they are too few, the query is refused.
+        """
+        if self._ended:
+            return
+        for call in self._calls:
+            call.stop()
+        if self._rule.is_covered(self._answered):
+            self._finish_with_answers()
+        else:
+            self._fail()
+
     def hand_over(self) -> int | None:
         """Stop, so that another instance can run the request.
 
@@ -146,14 +160,13 @@
             return
         now = max(not_before, self._context.clock.monotonic())
         if self._rule.should_answer(self._answered, self._outstanding, now):
-            self._finish(
-                self._merge_answers(), "whole" if self._is_whole() else "partial"
-            )
+            self._finish_with_answers()
         elif self._rule.cannot_reach_coverage(self._answered, self._outstanding):
             self._fail()
 
-    def _is_whole(self) -> bool:
-        return self._answered == len(self._calls)
+    def _finish_with_answers(self) -> None:
+        is_whole = self._answered == len(self._calls)
+        self._finish(self._merge_answers(), "whole" if is_whole else "partial")
 
     def _merge_answers(self) -> Response:
         calls = [call for call in self._calls if call.answer is not None]
--- a/filbertshelf/coordination/instance.py
+++ b/filbertshelf/coordination/instance.py
@@ -159,6 +159,9 @@
             await self.bookings.leave(timeout * HANDOFF_SHARE)
         unfinished = await self.caller_server.drain(timeout)
         events.emit(events.INSTANCE_STOPPED, in_flight=unfinished)
+        # What can't be finished any more is answered before its connection is closed.
+        await self.queries.admission.close()
+        await self.caller_server.end_requests()
 
     async def on_shutdown(self) -> None:
         """Close the connections to the platform."""
--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -34,6 +34,9 @@
     def on_resume(self) -> None:
         """End the request if its deadline passed while the process was paused."""
 
+    def on_stop(self) -> None:
+        """End the request now, because this instance stops."""
+
     def hand_over(self) -> int | None:
         """Stop and return how many targets of a service may have the request.
 
@@ -73,8 +76,10 @@
         self._delegated: DelegatedRequest | None = None
         self._ended = False
         self._moved = False
-        self._has_failed = False
-        """Whether the request failed here and waits for the check of the link."""
+        self._failed_result: RoutedResult | None = None
+        """The result of a request that failed here and waits for the check of the link.
+        """
+        self._stopping = False
         self._may_have_run = False
         """Whether targets that this request has left behind may have run it."""
         self._reachability = context.targets.reachability
@@ -107,9 +112,19 @@
 
     def on_cut_off(self) -> None:
         """Move the request to another instance, because no target is reached here."""
-        if self._local is not None and not self._ended and not self._has_failed:
+        has_failed = self._failed_result is not None
+        if self._local is not None and not self._ended and not has_failed:
             self._hand_over()
 
+    def on_stop(self) -> None:
+        """End the request now, because this instance stops."""
+        self._stopping = True
+        runner = self._local or self._delegated
+        if self._failed_result is not None:
+            self._finish(self._failed_result)
+        elif runner is not None:
+            runner.on_stop()
+
     # Running here.
 
     def _start_local(self) -> None:
@@ -118,10 +133,11 @@
 
     def _on_local_result(self, result: RoutedResult) -> None:
         """Return the result, unless another instance may still serve the request."""
-        if result.outcome not in FAILED_OUTCOMES or not self._reachability.suspected:
+        may_move = result.outcome in FAILED_OUTCOMES and not self._stopping
+        if not may_move or not self._reachability.suspected:
             self._finish(result)
             return
-        self._has_failed = True
+        self._failed_result = result
         self._reachability.check(lambda reachable: self._on_verdict(reachable, result))
 
     def _on_verdict(self, reachable: bool, result: RoutedResult) -> None:
@@ -154,6 +170,7 @@
 
     def _move(self, max_targets: int) -> None:
         self._local = None
+        self._failed_result = None
         self._moved = True
         self._delegate(self._delegation.choose_substitute, max_targets, True)
 
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -36,6 +36,9 @@
 NOT_READY_RETRY_S = 0.3
 """Retry-After seconds while this instance has no configuration."""
 
+STOPPED_RETRY_S = 0.1
+"""Retry-After seconds of an instance that has stopped; other instances are ready."""
+
 CRASHING_RETRY_S = 60.0
 """Retry-After seconds for a request that crashes its targets."""
 
@@ -74,6 +77,7 @@
         self._service_sequences: dict[str, WeightedServiceSequence] = {}
         self._runs: dict[RoutedRequest, RequestRun] = {}
         self.stopping = False
+        self._closed = False
 
     @property
     def has_runs(self) -> bool:
@@ -100,10 +104,20 @@
             for run in list(self._runs.values()):
                 run.on_cut_off()
 
+    def close(self) -> None:
+        """End all requests that still run, and refuse those that come later at once."""
+        self._closed = True
+        for run in list(self._runs.values()):
+            run.on_stop()
+
     def handle(self, req: Request) -> None:
         """Start a request, or refuse it."""
         header_names = self._context.header_names
         request_id = find_field(req.fields, header_names.request_id.lower()) or b""
+        if self._closed:
+            reason = "the instance has stopped"
+            self._refuse(req, request_id, 503, reason, STOPPED_RETRY_S)
+            return
         table = self._feed.table
         if table is None or not self._feed.ready:
             self._refuse(
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -312,6 +312,13 @@
     """A fault of this program ended a request, which may have run."""
 
 
+class UnfinishedError(FilbertshelfError):
+    """The instance stopped before a request had ended; it may have run."""
+
+    code = "unfinished"
+    status = 504
+
+
 class FetchError(PlatformError):
     """A request to the platform got no complete answer; it is retried later."""
 
--- a/filbertshelf/events/lifecycle.py
+++ b/filbertshelf/events/lifecycle.py
@@ -26,7 +26,7 @@
 INSTANCE_STOPPED = define(
     103,
     "instance-stopped",
-    "The instance has stopped; `in_flight` requests did not finish.",
+    "The instance stops serving; `in_flight` requests did not finish and are refused.",
     "in_flight",
 )
 PAUSE_DETECTED = define(
--- a/filbertshelf/state/answer_time.py
+++ b/filbertshelf/state/answer_time.py
@@ -31,10 +31,14 @@
 
     def should_answer(self, answered: int, outstanding: int, now: float) -> bool:
         """Return whether to answer at the monotonic time `now`."""
-        if answered < self.needed:
+        if not self.is_covered(answered):
             return False
         return not outstanding or now >= self.objective_at
 
+    def is_covered(self, answered: int) -> bool:
+        """Return whether enough shards have answered for a partial answer."""
+        return answered >= self.needed
+
     def cannot_reach_coverage(self, answered: int, outstanding: int) -> bool:
         """Return whether too few shards can still answer to reach the coverage."""
         return answered + outstanding < self.needed
--- a/filbertshelf/transport/caller_server.py
+++ b/filbertshelf/transport/caller_server.py
@@ -19,6 +19,7 @@
     PathError,
     RequestError,
     StoppingError,
+    UnfinishedError,
     UserError,
 )
 from filbertshelf.metrics import Metrics
@@ -67,7 +68,9 @@
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
         self.stopping = False
-        self.in_flight = 0
+        self._ending = False
+        """Whether the requests that still run are being ended."""
+        self._running: set[asyncio.Task] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self.address: tuple[str, int] = cfg.listen
@@ -125,6 +128,14 @@
                 await self._idle.wait()
         return self.in_flight
 
+    async def end_requests(self) -> None:
+        """Answer the requests that still run; their outcome is unknown."""
+        self._ending = True
+        for task in self._running:
+            task.cancel()
+        if self._running:
+            await self._idle.wait()
+
     async def on_stop(self) -> None:
         """Close the listener and all connections."""
         if self._runner is not None:
@@ -147,7 +158,8 @@
     ) -> web.Response:
         request_id = uuid.uuid4().hex
         caller = ""
-        self._request_started()
+        task = asyncio.current_task()
+        self._request_started(task)
         try:
             self._refuse_when_stopping()
             parsed = parse(req.content_type, await _read_body(req))
@@ -162,19 +174,32 @@
                 # lose it.
                 resp.force_close()
             return resp
+        except asyncio.CancelledError:
+            if not self._ending:
+                raise
+            task.uncancel()
+            unfinished = UnfinishedError(
+                "this instance stopped before it had an answer"
+            )
+            return self._reject(request_id, caller, unfinished)
         except Exception as exc:
             fault = InternalError(f"{exc!r:.200}: report this to the operators")
             return self._reject(request_id, caller, fault, has_ticket)
         finally:
-            self._request_ended()
+            self._request_ended(task)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that wait for their answer."""
+        return len(self._running)
 
-    def _request_started(self) -> None:
-        self.in_flight += 1
+    def _request_started(self, task: asyncio.Task) -> None:
+        self._running.add(task)
         self._idle.clear()
 
-    def _request_ended(self) -> None:
-        self.in_flight -= 1
-        if not self.in_flight:
+    def _request_ended(self, task: asyncio.Task) -> None:
+        self._running.discard(task)
+        if not self._running:
             self._idle.set()
 
     async def _handle_ticket(self, _req: web.Request) -> web.Response:
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -249,7 +249,9 @@
         req, self._running = self._running, None
         if req is None or self._phase is Phase.CLOSING:
             return
-        keep_alive = req.keep_alive and not self._server.stopping
+        # Requests that were received behind this one are answered even by a server that
+        # stops.
+        keep_alive = req.keep_alive and (not self._server.stopping or bool(self._queue))
         self._write_response(resp, keep_alive, req.method == b"HEAD")
         if not keep_alive:
             self.close()
@@ -289,7 +291,12 @@
     @property
     def busy(self) -> bool:
         """Return whether a request is being received or waits for its response."""
-        return self._phase in (Phase.HEAD, Phase.BODY, Phase.ANSWER)
+        # Between two queued requests the phase is `IDLE`.
+        return bool(self._queue) or self._phase in (
+            Phase.HEAD,
+            Phase.BODY,
+            Phase.ANSWER,
+        )
 
     def check_deadline(self, now: float) -> None:
         """Act on the deadline of the current phase if it has passed.
@@ -307,6 +314,12 @@
             self._refuse(408, "the request took too long to come")
             self._start_next()
 
+    def finish(self) -> None:
+        """Start the queued requests that the handler answers at once, then close."""
+        while self._queue and self._running is None:
+            self._start_next()
+        self.close()
+
     def close(self) -> None:
         """Send buffered data, then close the connection without a reset."""
         if self._phase is Phase.CLOSING:
@@ -369,4 +382,4 @@
         """Stop listening and close all connections."""
         self.stop_listening()
         for conn in list(self.connections):
-            conn.close()
+            conn.finish()
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -149,7 +149,8 @@
             },
             *extra.get("routes", ()),
         ]
-        services = [{"name": f"shard-{n}", "maxConns": 58} for n in range(2)]
+        connections = extra.get("connections", 58)
+        services = [{"name": f"shard-{n}", "maxConns": connections} for n in range(2)]
         doc = {"version": version, "routes": routes, "services": services}
         self.store.put("op/config", doc)
 
@@ -353,6 +354,35 @@
     await stop_task
 
 
+async def test_a_stopping_gateway_answers_what_it_can_no_longer_run(deployment):
+    # Guards against requests that wait in a stopping gateway, for a target's answer or
+    # for a connection, and lose their connection without an answer when its time ends.
+    gateway = deployment.gateways[0]
+    wait = {"name": "wait", "host": "h", "prefix": "/wait/", "service": "shard-1"}
+    wait |= {"kind": "unsafe", "timeoutMs": 9_000}
+    # Each gateway opens only one connection to a target.
+    deployment.publish(2, routes=[wait], connections=1)
+    await wait_until(lambda: gateway.feed.table.version == 2)
+    deployment.targets[1].fault = "hold"
+    sending = [
+        asyncio.create_task(
+            deployment.send_request("/wait/x", f"r{n}", b"racks", deadline_ms=9_000)
+        )
+        for n in range(4)
+    ]
+    await wait_until(lambda: gateway.server.in_flight == len(sending))
+    await gateway.stop()
+    answers = await asyncio.gather(*sending)
+    ((running, _answer),) = deployment.targets[1].held_requests
+    running_id = find_field(running.fields, b"request-id").decode()
+    for number, (status, fields, _) in enumerate(answers):
+        if f"r{number}" == running_id:
+            assert status == 502
+        else:
+            assert status == 503
+            assert float(fields["Retry-After"]) > 0
+
+
 async def test_settings_are_reloaded_and_invalid_ones_refused(deployment, log):
     # Guards against a reload that ends the process, or applies half of a settings file.
     settings = deployment.settings[0]
--- a/test/promises/test_leaving.py
+++ b/test/promises/test_leaving.py
@@ -116,6 +116,26 @@
     await stopping
 
 
+async def test_a_stopping_instance_answers_what_it_can_no_longer_run(fleet):
+    # Guards against requests that lose their connection without an answer when the
+    # drain timeout of their instance ends: one that waits for its target, and one that
+    # waits for admission.
+    await fleet.start(
+        target_options={"service_ms": 4_000.0, "sigma": 0.0},
+        max_queries=1,
+        drain_timeout=0.4,
+    )
+    queries = [
+        asyncio.create_task(fleet.query("i0", deadline_ms=9_000)) for _ in range(2)
+    ]
+    instance = fleet.instances["i0"]
+    await fleet.until(lambda: instance.queries.admission.waiting == 1)
+    await instance.stop()
+    answers = await asyncio.gather(*queries)
+    outcomes = sorted((status, answer["outcome"]) for status, answer in answers)
+    assert outcomes == [(503, "not_run"), (504, "unknown")]
+
+
 async def test_a_leaving_row_read_before_the_publication_is_applied(fleet):
     # Guards against an instance that sends work to a leaving target because it read
     # the instance list before the publication: the list was applied to no target and
--- a/test/transport/test_http_server.py
+++ b/test/transport/test_http_server.py
@@ -217,6 +217,37 @@
     assert server.in_flight == 0
 
 
+async def test_a_stopping_server_answers_pipelined_requests(server, app):
+    # Guards against requests that were received behind a running one, and that a stop
+    # drops with the answer to the first.
+    app.hold = True
+    response = asyncio.create_task(send_and_read(server, GET * 3))
+    while not app.pending:
+        await asyncio.sleep(0.01)
+    server.stopping = True
+    app.hold = False
+    app.pending[0].reply(Response(200, (), b"first"))
+    server.stop_listening()
+    assert server.in_flight == 1
+    data = await response
+    assert statuses(data) == [200, 200, 200]
+    assert data.count(b"Connection: close") == 1
+
+
+async def test_a_server_that_ends_answers_what_was_received(server, app):
+    # Guards against a stop that closes a connection before its queued requests get the
+    # refusal of a handler that takes no more.
+    app.hold = True
+    response = asyncio.create_task(send_and_read(server, GET * 3))
+    while not app.pending:
+        await asyncio.sleep(0.01)
+    server.stopping = True
+    app.hold = False
+    app.pending[0].reply(Response(503))
+    await server.stop()
+    assert statuses(await response) == [503, 200, 200]
+
+
 POST_CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
