Refuse numbers that no type can hold, and contain unexpected errors

Cause: the decoder converted any integer to a float, and the `OverflowError` left the feed's task, which ends the process. The settings had the same conversion.

Numbers of entries, of the configuration, of the store's revisions and of the settings are now finite, not negative, and integers have at most 63 bits. An unexpected error in one entry, in a step of a service's loop or in a background task is logged with its traceback (event 108) and ends nothing.

--- a/filbertshelf/commands/daemon.py
+++ b/filbertshelf/commands/daemon.py
@@ -15,6 +15,8 @@
 import mode
 import uvloop
 
+from filbertshelf.errors import FilbertshelfError
+
 # The container objects allocated between two collections of the youngest generation.
 # A query allocates dozens for each sub-request, so the interpreter's default of 700
 # would collect during every query.
@@ -27,7 +29,10 @@
     get_addresses: Callable[[mode.Service], Mapping[str, object]],
     reload: Callable[[mode.Service], None] | None = None,
 ) -> int:
-    """Start the service that `make_service` returns and return 0 once it has stopped.
+    """Start the service that `make_service` returns, and return the exit code.
+
+    It is 0 for a service that was told to stop, and `FilbertshelfError.exit_code` for
+    one that an unexpected error has ended.
 
     The result of `get_addresses` is written to `ready_file` as JSON after the start,
     unless `ready_file` is empty. `reload` is called with the service on each SIGHUP.
@@ -59,7 +64,7 @@
         await service.stop()
         for task in (service_ended, signalled):
             task.cancel()
-    return 0
+    return FilbertshelfError.exit_code if service.crashed else 0
 
 
 @contextlib.contextmanager
--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -27,6 +27,7 @@
 from filbertshelf.state.delegation import Delegates, pick_substitute
 from filbertshelf.state.members import Address, Member
 from filbertshelf.state.routing import Repeat, Route
+from filbertshelf.supervision import contained
 from filbertshelf.transport.http1.server import Request
 from filbertshelf.transport.peers import Sender
 
@@ -216,7 +217,7 @@
 
     def start_task(self, coro: Coroutine[Any, Any, None]) -> None:
         """Start a task for which the service waits when it stops."""
-        self.add_future(coro)
+        self.add_future(contained(coro, coro.__qualname__))
 
     async def _on_answer(self, _sender: Sender, msg: DelegationAnswer) -> None:
         on_answer = self._pending.pop(msg.key, None)
--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -35,6 +35,7 @@
 from filbertshelf.state.poll_schedule import MAX_RANK, poll_due_at, retry_delay_s
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.update_tree import plan_branches
+from filbertshelf.supervision import contained, log_unexpected
 from filbertshelf.transport.peers import Peers, Sender
 
 WAIT_CHECK_INTERVAL_S = 0.2
@@ -155,6 +156,9 @@
                 await self._poll()
             except PlatformError as exc:
                 await self._poll_failed(exc)
+            except Exception as exc:
+                log_unexpected("the poll of the platform", exc)
+                await self._poll_failed(PlatformError(f"{type(exc).__name__}"))
 
     def _poll_wait_s(self) -> float:
         """Return the seconds left to wait for an update from a peer."""
@@ -273,7 +277,8 @@
     def _notify(self, addresses: Sequence[Address], msg: FeedUpdate) -> None:
         # A peer that misses the update polls once its own content is too old.
         if addresses:
-            self.add_future(self._peers.notify_all(addresses, msg))
+            notices = self._peers.notify_all(addresses, msg)
+            self.add_future(contained(notices, "an update to peers"))
 
     async def _on_update(self, sender: Sender, msg: FeedUpdate) -> None:
         msg = attrs.evolve(msg, era=self._era_of(msg))
@@ -386,7 +391,8 @@
         removed = [change for change in changes if change.target is None]
         if removed and (unsure or self._removals_unsure()):
             kept = [change for change in changes if change.target is not None]
-            self.add_future(self._remove_later(removed))
+            removal = self._remove_later(removed)
+            self.add_future(contained(removal, "a delayed removal of targets"))
             self._listener.on_targets(kept)
         else:
             self._listener.on_targets(changes)
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -34,6 +34,7 @@
 from filbertshelf.state.members import Identity
 from filbertshelf.state.pause import PauseMonitor
 from filbertshelf.state.routing import Limits
+from filbertshelf.supervision import contain_errors
 from filbertshelf.transport.http1.server import HttpServer, Request
 from filbertshelf.transport.log_pipe import LogPipe
 from filbertshelf.transport.peers import Peers
@@ -282,11 +283,15 @@
         """Adjust the shares of limits to the size of the fleet."""
         while not self.should_stop:
             await self.clock.sleep(FLEET_CHECK_INTERVAL_S)
-            now = self.clock.monotonic()
-            estimate = self._fleet_size.update(self.membership.member_count(), now)
-            if estimate is not None:
-                self._apply_fleet(estimate)
-            self._log_readiness()
+            await self._check_fleet()
+
+    @contain_errors
+    async def _check_fleet(self) -> None:
+        now = self.clock.monotonic()
+        estimate = self._fleet_size.update(self.membership.member_count(), now)
+        if estimate is not None:
+            self._apply_fleet(estimate)
+        self._log_readiness()
 
     def _apply_fleet(self, fleet: FleetEstimate) -> None:
         """Choose the instances that run queries over many shards; divide the limits."""
@@ -324,20 +329,28 @@
     async def _watch_pauses(self) -> None:
         while not self.should_stop:
             await self.clock.sleep(PAUSE_CHECK_INTERVAL_S)
-            paused = self._pause_monitor.pending_pause_s()
-            if paused:
-                events.emit(events.PAUSE_DETECTED, paused_s=round(paused, 3))
-                self.router.on_resume()
-                self.feed.refresh()
-                self._pause_monitor.acknowledge()
-            self._pause_monitor.tick()
+            await self._check_pause()
+
+    @contain_errors
+    async def _check_pause(self) -> None:
+        paused = self._pause_monitor.pending_pause_s()
+        if paused:
+            events.emit(events.PAUSE_DETECTED, paused_s=round(paused, 3))
+            self._pause_monitor.acknowledge()
+            self.feed.refresh()
+            self.router.on_resume()
+        self._pause_monitor.tick()
 
     @mode.Service.task
     async def _watch_settings(self) -> None:
         while not self.should_stop:
             await self.clock.sleep(SETTINGS_CHECK_INTERVAL_S)
-            if self._settings.changed():
-                self.reload()
+            await self._check_settings()
+
+    @contain_errors
+    async def _check_settings(self) -> None:
+        if self._settings.changed():
+            self.reload()
 
     def reload(self) -> None:
         """Read the settings again and apply what can change without a restart."""
--- a/filbertshelf/coordination/membership.py
+++ b/filbertshelf/coordination/membership.py
@@ -36,6 +36,7 @@
     MemberTable,
     Status,
 )
+from filbertshelf.supervision import contain_errors
 from filbertshelf.transport.peers import Peers, Sender
 
 INDIRECT_PROBE_HELPERS = 3
@@ -202,6 +203,7 @@
         for row in self.table.expire(now, suspicion_timeout):
             self._log_change(row)
 
+    @contain_errors
     async def _probe_once(self) -> str | None:
         """Probe one member; return its id if no instance reached it, else None."""
         self._period += 1
--- a/filbertshelf/coordination/notices.py
+++ b/filbertshelf/coordination/notices.py
@@ -12,6 +12,7 @@
 from filbertshelf.coordination.membership import Membership
 from filbertshelf.protocol.notices import Notice, Topic
 from filbertshelf.state.members import Address
+from filbertshelf.supervision import contained
 from filbertshelf.transport.peers import Peers, Sender
 
 # Up to this fleet size the origin sends a notice directly to each member.
@@ -75,4 +76,5 @@
         while not self.should_stop:
             notice, addresses = await self._outbox.get()
             # An instance that misses a notice learns the same from the target.
-            await self._peers.notify_all(addresses, notice)
+            sending = self._peers.notify_all(addresses, notice)
+            await contained(sending, "a notice to peers")
--- a/filbertshelf/events/__init__.py
+++ b/filbertshelf/events/__init__.py
@@ -42,6 +42,7 @@
     PAUSE_DETECTED,
     SETTINGS_REFUSED,
     SETTINGS_RELOADED,
+    UNEXPECTED_ERROR,
 )
 from filbertshelf.events.limits import (
     RATE_TOKENS_RECEIVED,
@@ -178,6 +179,7 @@
     "TICKET_MINT_REFUSED",
     "TICKET_TABLE_HANDED_OFF",
     "TICKET_TABLE_RECEIVED",
+    "UNEXPECTED_ERROR",
     "Event",
     "Level",
     "define",
--- a/filbertshelf/events/lifecycle.py
+++ b/filbertshelf/events/lifecycle.py
@@ -51,6 +51,15 @@
     "reason",
     level=Level.ERROR,
 )
+UNEXPECTED_ERROR = define(
+    108,
+    "unexpected-error",
+    "A step of the program failed in a way that nothing expects; the process goes on.",
+    "where",
+    "reason",
+    "traceback",
+    level=Level.ERROR,
+)
 LOG_LINES_DROPPED = define(
     105,
     "log-lines-dropped",
--- a/filbertshelf/platform/entries.py
+++ b/filbertshelf/platform/entries.py
@@ -8,6 +8,7 @@
 
 from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import PlatformContentError
+from filbertshelf.json_values import is_integer, is_number, shown
 from filbertshelf.state.directory import ListedTarget
 from filbertshelf.state.routing import (
     Gather,
@@ -41,8 +42,9 @@
             [_decode_service(item) for item in doc.get("services", ())],
             _decode_limits(doc.get("limits", {})),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise PlatformContentError(f"the configuration is malformed: {exc!r}") from exc
+    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
+        reason = f"the configuration is malformed: {exc!r:.200}"
+        raise PlatformContentError(reason) from exc
 
 
 def decode_target(id_: str, text: bytes) -> ListedTarget:
@@ -54,7 +56,7 @@
     doc = _require_object(_parse_json(text), "the entry")
     state = _string(doc, "state")
     if state not in _STATES:
-        raise PlatformContentError(f"the state {state!r} is unknown")
+        raise PlatformContentError(f"the state {shown(state)} is unknown")
     _check_unused_fields(doc)
     return ListedTarget(
         id_,
@@ -107,13 +109,15 @@
 
 def _decode_gather(item: dict[str, Any]) -> Gather:
     return Gather(
-        tuple(item["gather"]), _integer(item, "topK"), _number(item, "minCoverage")
+        _strings(item, "gather"), _integer(item, "topK"), _number(item, "minCoverage")
     )
 
 
 def _decode_service(item: dict[str, Any]) -> Service:
     return Service(
-        _string(item, "name"), item.get("healthPath", ""), _integer(item, "maxConns")
+        _string(item, "name"),
+        _optional(item, "healthPath", _string, ""),
+        _integer(item, "maxConns"),
     )
 
 
@@ -150,12 +154,19 @@
 def _string(doc: dict[str, Any], name: str) -> str:
     value = doc.get(name)
     if not isinstance(value, str) or not value:
-        raise PlatformContentError(f"{name} is not a non-empty string: {value!r:.80}")
+        raise PlatformContentError(f"{name} is not a non-empty string: {shown(value)}")
     if not is_utf8_encodable(value):
-        raise PlatformContentError(f"{name} can't be encoded as UTF-8: {value!r:.80}")
+        raise PlatformContentError(f"{name} can't be encoded as UTF-8: {shown(value)}")
     return value
 
 
+def _strings(doc: dict[str, Any], name: str) -> tuple[str, ...]:
+    values = doc.get(name)
+    if not isinstance(values, list):
+        raise PlatformContentError(f"{name} is not a list: {shown(values)}")
+    return tuple(_string({name: value}, name) for value in values)
+
+
 def is_utf8_encodable(text: str) -> bool:
     """Return whether a string from JSON can be encoded; a lone surrogate can't."""
     try:
@@ -167,19 +178,15 @@
 
 def _integer(doc: dict[str, Any], name: str) -> int:
     value = doc.get(name)
-    if type(value) is not int or value < 0:
-        raise PlatformContentError(
-            f"{name} is not a non-negative integer: {value!r:.80}"
-        )
+    if not is_integer(value):
+        raise PlatformContentError(f"{name} is not an integer: {shown(value)}")
     return value
 
 
 def _number(doc: dict[str, Any], name: str) -> float:
     value = doc.get(name)
-    if type(value) not in (int, float) or value < 0:
-        raise PlatformContentError(
-            f"{name} is not a non-negative number: {value!r:.80}"
-        )
+    if not is_number(value):
+        raise PlatformContentError(f"{name} is not a number: {shown(value)}")
     return float(value)
 
 
@@ -194,4 +201,4 @@
     try:
         return parse_address(text)
     except ValueError as exc:
-        raise PlatformContentError(f"{text!r:.80} is not IP:PORT: {exc}") from exc
+        raise PlatformContentError(f"{shown(text)} is not IP:PORT") from exc
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -10,6 +10,7 @@
 from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import Problem, SettingsError
 from filbertshelf.gateway_settings import GatewaySettings
+from filbertshelf.json_values import is_number, shown
 from filbertshelf.platform.constants import METRICS_PORT
 from filbertshelf.settings import Settings
 from filbertshelf.state.delegation import shard_cost_us
@@ -116,10 +117,10 @@
 
     def number(self, *path: str) -> float:
         value = self._find(path)
-        if type(value) in (int, float) and value >= 0:
+        if is_number(value):
             return float(value)
         self._add_problem(
-            path, value, "is not a number", "write a number of at least 0"
+            path, value, "is not a number", "write a finite number of at least 0"
         )
         return 0.0
 
@@ -149,6 +150,6 @@
     def _add_problem(
         self, path: tuple[str, ...], value: object, message: str, remedy: str
     ) -> None:
-        shown = "" if value is None else str(value)[:80]
+        text = "" if value is None else shown(value)
         message = "is missing" if value is None else message
-        self.problems.append(Problem(".".join(path), shown, message, remedy))
+        self.problems.append(Problem(".".join(path), text, message, remedy))
--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -18,6 +18,7 @@
     PlatformContentError,
     PlatformError,
 )
+from filbertshelf.json_values import is_integer, shown
 from filbertshelf.platform.constants import (
     ALL_KEYS_PREFIX,
     CONFIG_KEY,
@@ -30,6 +31,7 @@
 from filbertshelf.protocol.http_messages import HeaderField, find_field
 from filbertshelf.state.directory import DirectoryChange, TargetChange
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
+from filbertshelf.supervision import log_unexpected
 from filbertshelf.transport.http1.fetch import Fetcher
 
 CALL_TIMEOUT_S = 0.8
@@ -139,8 +141,8 @@
 
 def _store_revision(page: _Page) -> int:
     value = page.fields.get("storeRevision")
-    if type(value) is not int or value < 0:
-        raise PlatformContentError(f"the store's revision is malformed: {value!r:.80}")
+    if not is_integer(value):
+        raise PlatformContentError(f"the store's revision is malformed: {shown(value)}")
     return value
 
 
@@ -163,7 +165,7 @@
     changes: dict[str, TargetChange] = {}
     for item in items:
         if not _is_valid_item(item):
-            _log_ignored(f"{item!r:.80}", revision, "it has no key or no revision")
+            _log_ignored(shown(item), revision, "it has no key or no revision")
             continue
         key = item["key"]
         if key == CONFIG_KEY:
@@ -180,7 +182,7 @@
         isinstance(item, dict)
         and isinstance(item.get("key"), str)
         and is_utf8_encodable(item["key"])
-        and type(item.get("modRevision")) is int
+        and is_integer(item.get("modRevision"))
     )
 
 
@@ -203,7 +205,10 @@
         return TargetChange(id_, revision, decode_target(id_, _decode_value(item)))
     except PlatformContentError as exc:
         _log_ignored(item["key"], revision, str(exc))
-        return TargetChange(id_, revision, None)
+    except Exception as exc:
+        # A fault in the decoder must hide no other entry.
+        log_unexpected(f"the decoder of {item['key']!r:.80}", exc)
+    return TargetChange(id_, revision, None)
 
 
 def _log_ignored(key: str, revision: int, reason: str) -> None:
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -21,6 +21,7 @@
     status_line,
 )
 from filbertshelf.state.routing import Limits
+from filbertshelf.supervision import log_unexpected
 from filbertshelf.transport.http1.message_bounds import max_framing_bytes
 from filbertshelf.transport.http1.sockets import set_tcp_options
 
@@ -363,7 +364,11 @@
             await self._clock.sleep(DEADLINE_CHECK_INTERVAL_S)
             now = self._clock.monotonic()
             for conn in list(self.connections):
-                conn.check_deadline(now)
+                try:
+                    conn.check_deadline(now)
+                except Exception as exc:
+                    # The other connections still need their checks.
+                    log_unexpected("the deadline of a caller's connection", exc)
 
     @property
     def in_flight(self) -> int:
--- a/filbertshelf/transport/log_pipe.py
+++ b/filbertshelf/transport/log_pipe.py
@@ -12,6 +12,8 @@
 import mode
 import orjson
 
+from filbertshelf.json_values import shown
+
 MAX_BUFFERED_BYTES = 1_048_576
 """Log lines that would exceed this size of the buffer are dropped and counted."""
 
@@ -43,7 +45,7 @@
 
     def buffer_message(self, message: dict[str, Any]) -> None:
         """Add a message to the buffer, or drop it if the buffer is full."""
-        line = orjson.dumps(message, default=str) + b"\n"
+        line = _encode_line(message)
         if self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.dropped += 1
             return
@@ -93,3 +95,20 @@
         """Write the rest of the buffer as far as the pipe accepts it."""
         eliot.remove_destination(self.buffer_message)
         self.flush()
+
+
+def _encode_line(message: dict[str, Any]) -> bytes:
+    """Return a message as a line; a value that JSON can't hold is shown as text."""
+    try:
+        return orjson.dumps(message, default=str) + b"\n"
+    except TypeError:
+        fields = {name: _encodable(value) for name, value in message.items()}
+        return orjson.dumps(fields, default=str) + b"\n"
+
+
+def _encodable(value: Any) -> Any:
+    try:
+        orjson.dumps(value, default=str)
+    except TypeError:
+        return shown(value)
+    return value
--- a/test/commands/test_daemon.py
+++ b/test/commands/test_daemon.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from filbertshelf.errors import FilbertshelfError
+
 DAEMON = """\
 import sys
 import mode
@@ -48,3 +50,24 @@
     while stopped_daemon.poll() is None:
         stopped_daemon.send_signal(signum)
     assert stopped_daemon.returncode == 0
+
+
+CRASHING_DAEMON = """\
+import sys
+import mode
+from filbertshelf.commands.daemon import run_daemon
+
+class Crashing(mode.Service):
+    @mode.Service.task
+    async def _fail(self):
+        raise ZeroDivisionError
+
+sys.exit(run_daemon(Crashing, "", lambda service: {}))
+"""
+
+
+def test_a_daemon_that_ends_by_an_error_has_its_own_exit_code():
+    # Guards against an end by a fault that looks like an ordered stop.
+    command = [sys.executable, "-c", CRASHING_DAEMON]
+    done = subprocess.run(command, capture_output=True, timeout=30, check=False)
+    assert done.returncode == FilbertshelfError.exit_code
--- a/test/coordination/test_feed.py
+++ b/test/coordination/test_feed.py
@@ -259,3 +259,27 @@
     for name, feed in fleet.feeds.items():
         assert name in fleet.cut_off or feed.table.version == 7
         await feed.stop()
+
+
+async def test_an_unexpected_error_of_a_poll_is_logged_and_the_next_poll_works(
+    fleet, log, monkeypatch
+):
+    # Guards against an error that nobody expects and that ends the process, again after
+    # each restart (review case 5).
+    feed = fleet.feeds["n0"]
+    changes = feed._source.changes
+
+    async def fail(after):
+        raise OverflowError("int too large to convert to float")
+
+    monkeypatch.setattr(feed._source, "changes", fail)
+    fleet.cut_off = {"n0"}
+    await fleet.run(4.0)
+    assert not feed.crashed
+    lines = [line for line in log if line["event"] == 108]
+    assert lines
+    assert "OverflowError" in lines[0]["traceback"]
+    monkeypatch.setattr(feed._source, "changes", changes)
+    fleet.platform.publish(7)
+    await fleet.run(3.0)
+    assert fleet.versions() == {7}
--- a/test/platform/test_entries.py
+++ b/test/platform/test_entries.py
@@ -4,10 +4,19 @@
 
 import json
 
+import attrs
+import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from filbertshelf.errors import PlatformContentError
 from filbertshelf.platform.entries import decode_route_table, decode_target
+from filbertshelf.protocol import messages
+from filbertshelf.protocol.feed import FeedUpdate, HeldConfig
+from filbertshelf.protocol.messages import decode
+from filbertshelf.state.directory import DirectoryChange, TargetChange
+from filbertshelf.state.platform_update import PlatformUpdate
 from filbertshelf.state.routing import Repeat, WeightedService
 
 ENTRY = {
@@ -152,3 +161,94 @@
     # Guards against serving only the valid part of a configuration.
     with pytest.raises(PlatformContentError):
         decode_route_table(encode({**CONFIG, **changes}))
+
+
+OUT_OF_RANGE = [
+    pytest.param("9" * 400, id="400 digits"),
+    *("1e999", "-1e999", "NaN", "Infinity", "-1"),
+]
+"""JSON numbers that no field can hold; some exceed every common type of number."""
+
+
+def with_number(doc: dict, name: str, number: str) -> bytes:
+    """Return the document with a number as it is written in JSON."""
+    return encode({**doc, name: "@"}).replace(b'"@"', number.encode())
+
+
+@pytest.mark.parametrize("number", OUT_OF_RANGE)
+@pytest.mark.parametrize("name", ["slots", "coldRemainingMs", "seq", "born"])
+def test_an_entry_with_a_number_out_of_range_is_refused(name, number):
+    # Guards against an entry of another writer that ends every gateway: a number of 400
+    # digits raised an error that nothing expected.
+    with pytest.raises(PlatformContentError):
+        decode_target("i-1", with_number(ENTRY, name, number))
+
+
+@pytest.mark.parametrize("number", OUT_OF_RANGE)
+@pytest.mark.parametrize(
+    "name",
+    ["timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "topK", "minCoverage"],
+)
+def test_a_route_with_a_number_out_of_range_is_refused(name, number):
+    route = with_number(ROUTE, name, number)
+    text = encode({**CONFIG, "routes": ["@"]}).replace(b'"@"', route)
+    with pytest.raises(PlatformContentError):
+        decode_route_table(text)
+
+
+@pytest.mark.parametrize("number", OUT_OF_RANGE)
+def test_a_configuration_with_a_version_out_of_range_is_refused(number):
+    with pytest.raises(PlatformContentError):
+        decode_route_table(with_number(CONFIG, "version", number))
+
+
+numbers = (
+    st.integers() | st.integers(min_value=10**300, max_value=10**400) | st.floats()
+)
+json_values = st.recursive(
+    st.none() | st.booleans() | numbers | st.text(max_size=8),
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(st.text(max_size=4), children, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def changed_fields(doc: dict) -> st.SearchStrategy[dict]:
+    """Return a strategy for the document with any values in some of its fields."""
+    numeric = sorted(name for name, value in doc.items() if type(value) in (int, float))
+    any_fields = st.dictionaries(st.sampled_from(sorted(doc)), json_values, max_size=3)
+    if not numeric:
+        return any_fields.map(lambda changes: {**doc, **changes})
+    number_fields = st.dictionaries(st.sampled_from(numeric), numbers, max_size=2)
+    return st.tuples(any_fields, number_fields).map(
+        lambda changes: {**doc, **changes[0], **changes[1]}
+    )
+
+
+@given(changed_fields(ENTRY))
+def test_an_entry_with_any_values_is_a_target_in_bounds_or_refused(doc):
+    # Guards against errors of other types, and against values that later code, the
+    # log or the messages to peers can't handle.
+    try:
+        target = decode_target("i-1", encode(doc))
+    except PlatformContentError:
+        return
+    change = TargetChange("i-1", 1, target)
+    update = PlatformUpdate(DirectoryChange(0, 1, (change,)), None)
+    msg = decode(messages.encode(FeedUpdate.of(update, HeldConfig(), 0.0, False)))
+    assert msg.message.update().directory.targets == (change,)
+    orjson.dumps(attrs.asdict(target))
+
+
+@given(changed_fields(ROUTE), changed_fields(CONFIG["services"][0]))
+def test_a_configuration_with_any_values_is_a_table_or_refused(route, service):
+    # Guards against a configuration that ends the gateways while it is decoded or used.
+    doc = {**CONFIG, "routes": [route], "services": [service]}
+    try:
+        table = decode_route_table(encode(doc))
+    except PlatformContentError:
+        return
+    table.match("pupu76.example", "/bapu561/2f")
+    orjson.dumps([attrs.asdict(item) for item in table.services.values()])
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -102,3 +102,23 @@
                 break
         proc.stderr.read()
     assert proc.returncode == SettingsError.exit_code
+
+
+@pytest.mark.parametrize(
+    "number",
+    [
+        pytest.param(10**400, id="400 digits"),
+        pytest.param(10**5000, id="5000 digits"),
+        float("inf"),
+        float("nan"),
+    ],
+)
+@pytest.mark.parametrize("path", [("bounds", "graceS"), ("limits", "linkMbps")])
+def test_a_number_out_of_range_is_a_problem_of_the_settings(path, number):
+    # Guards against settings that end a running gateway instead of being refused.
+    doc = settings()
+    section, name = path
+    doc[section][name] = number
+    with pytest.raises(SettingsError) as caught:
+        parse_gateway_settings(doc)
+    assert [problem.where for problem in caught.value.problems] == [f"{section}.{name}"]
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+
+import orjson
 import pytest
 
 from filbertshelf.clock import SystemClock
@@ -196,3 +199,46 @@
     monkeypatch.setattr(StoreStandin, "_fields", lambda self: fields)
     with pytest.raises(PlatformContentError):
         await client.snapshot()
+
+
+async def test_one_unreadable_number_hides_no_other_entry(store, client, log):
+    # Guards against an entry, a revision or a nesting that ends every gateway (review
+    # case 5).
+    number = b'"coldRemainingMs": ' + b"9" * 400
+    entry = json.dumps({**ENTRY, "coldRemainingMs": 0}).encode()
+    store.put("servers/i-b", entry.replace(b'"coldRemainingMs": 0', number))
+    store.items["servers/i-c"]["modRevision"] = 10**400
+    nested: list = []
+    for _ in range(200):
+        nested = [nested]
+    store.items["servers/i-d"] = {"key": nested}
+    update = await client.snapshot()
+    assert [c.id for c in update.directory.targets if c.target] == ["i-a"]
+    assert len({line["key"] for line in log if line["event"] == 413}) == 3
+    # Each line can be written.
+    assert all(orjson.dumps(line, default=str) for line in log)
+
+
+async def test_a_store_revision_out_of_range_is_malformed(store, client):
+    # Guards against a revision that nothing can follow, or that peers can't be sent.
+    store.revision = 10**400
+    with pytest.raises(PlatformContentError):
+        await client.snapshot()
+
+
+async def test_an_unexpected_error_in_one_entry_hides_no_other(
+    store, client, log, monkeypatch
+):
+    # Guards against a fault of the decoder itself that ends every gateway.
+    decode_target = module.decode_target
+
+    def fail_for_b(id_, text):
+        if id_ == "i-b":
+            raise ZeroDivisionError
+        return decode_target(id_, text)
+
+    monkeypatch.setattr(module, "decode_target", fail_for_b)
+    update = await client.snapshot()
+    assert [c.id for c in update.directory.targets if c.target] == ["i-a", "i-c"]
+    (line,) = [line for line in log if line["event"] == 108]
+    assert "ZeroDivisionError" in line["traceback"]
--- a/test/transport/test_log_pipe.py
+++ b/test/transport/test_log_pipe.py
@@ -77,3 +77,18 @@
     events.emit(events.TARGET_ADDED, target="last", address="a")
     await log.stop()
     assert lines_of(os.read(reading, 65_536))[-1]["target"] == "last"
+
+
+@pytest.mark.parametrize(
+    "value", [10**400, 10**5000, "half \ud800"], ids=["long", "longer", "surrogate"]
+)
+async def test_a_value_that_json_cannot_hold_loses_no_line(pipe, value):
+    # Guards against a hostile value that keeps its own decision out of the log.
+    reading, writing = pipe
+    log = LogPipe(writing, lambda count: None)
+    await log.start()
+    events.emit(events.TARGET_ADDED, target=value, address="1.2.3.4:5")
+    log.flush()
+    (line,) = lines_of(os.read(reading, 4_096))
+    assert (line["event"], line["address"]) == (300, "1.2.3.4:5")
+    await log.stop()
