Never take a late copy of a refusal for the next answer

Cause: a booking that a target refuses is sent to it again over the same connection, and a response is matched by the request's id alone, which both sendings share. And a copy that names another request left the connection one answer behind, so that the next requests failed in turn.

Now a request that must run only once isn't sent again over a connection that has carried it, and responses to other requests are dropped until the due one comes (event 216), within a bound.

--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -13,11 +13,16 @@
     Timer,
 )
 from filbertshelf.coordination.target_entries import TargetEntry
+from filbertshelf.protocol.http_messages import HeaderField
 from filbertshelf.protocol.target_responses import Classification
 from filbertshelf.state.hedging import is_worthwhile
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.routing import Repeat
-from filbertshelf.transport.http1.client import Exchange, ExchangeEnd
+from filbertshelf.transport.http1.client import (
+    Exchange,
+    ExchangeEnd,
+    HttpConnection,
+)
 
 MAX_SUB_REQUESTS = 4
 """Maximum number of sub-requests for one shard of a request, hedges included."""
@@ -71,6 +76,8 @@
         self._repeatable = request.route.repeat is Repeat.IDEMPOTENT
         self._tried: set[str] = set()
         self._sent_to: set[str] = set()
+        self._used_connections: frozenset[HttpConnection] = frozenset()
+        """Connections that have carried a request that must run only once."""
         self._running: dict[Exchange, TargetEntry] = {}
         self._retry_timer: Timer | None = None
 
@@ -232,10 +239,15 @@
             functools.partial(self._on_exchange_end, entry),
             request.http_request.method == b"HEAD",
             request.max_response_bytes,
+            self._is_own_response,
+            self._used_connections,
         )
         self._running[exchange] = entry
         self._context.targets.send(entry, exchange, now, is_extra)
 
+    def _is_own_response(self, fields: list[HeaderField]) -> bool:
+        return self._context.classifier.may_answer(fields, self._request.id)
+
     def _make_head(self, target_id: str) -> bytes:
         now = self._context.clock.monotonic()
         return self._request.head_for(target_id, self._context.header_names, now)
@@ -250,6 +262,13 @@
         self._context.targets.record_end(entry, exchange, classification, now)
         if exchange.written:
             self._sent_to.add(entry.id)
+        if exchange.connection is not None and not self._repeatable:
+            # A late copy of the response would look like the response to a repeat. An
+            # idempotent request takes that risk, which costs it one more repeat, rather
+            # than a new connection for each repeat at a full target.
+            self._used_connections |= {exchange.connection}
+        if exchange.dropped_responses:
+            self._log_dropped(entry, exchange, now)
         if exchange.exceeded:
             self._log_cut(entry, exchange, now)
         if classification.result is Result.ANSWERED:
@@ -370,6 +389,17 @@
         if not self._try_send(now, is_extra=True):
             self._fail()
 
+    def _log_dropped(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
+        """Log that the target sent responses to other requests in place of the due."""
+        if self._request.log_limit.allows(now):
+            events.emit(
+                events.OTHER_RESPONSE_DROPPED,
+                request_id=self._request.text_id,
+                service=self.service,
+                target=entry.id,
+                count=exchange.dropped_responses,
+            )
+
     def _log_cut(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
         """Log which bound a response exceeded."""
         if self._request.log_limit.allows(now):
--- a/filbertshelf/events/requests.py
+++ b/filbertshelf/events/requests.py
@@ -166,3 +166,13 @@
     "body_bytes",
     level=Level.WARNING,
 )
+OTHER_RESPONSE_DROPPED = define(
+    216,
+    "other-response-dropped",
+    "A target sent responses to other requests where the due one was expected.",
+    "request_id",
+    "service",
+    "target",
+    "count",
+    level=Level.WARNING,
+)
--- a/filbertshelf/protocol/target_responses.py
+++ b/filbertshelf/protocol/target_responses.py
@@ -120,6 +120,16 @@
             Result.UNKNOWN, Reason.TARGET_ERROR, stamp, rate_limit=rate_limit
         )
 
+    def may_answer(self, fields: list[HeaderField], request_id: bytes) -> bool:
+        """Return whether a response with these fields may be to the request.
+
+        One that names no request may be.
+        """
+        for name, value in fields:
+            if name.lower() == self._request_id:
+                return value == request_id
+        return True
+
     def _parse_fields(
         self, fields: list[HeaderField], request_id: bytes
     ) -> _ParsedFields | None:
--- a/filbertshelf/transport/http1/client.py
+++ b/filbertshelf/transport/http1/client.py
@@ -50,6 +50,11 @@
     the server may have read the request. `without_body` says that the response has
     no body, as after HEAD. A response with a longer body than `max_body_bytes` is
     malformed; `exceeded` then names the bound, and `cut_bytes` is the length so far.
+
+    A server may send copies of earlier responses late. `is_own_response` tells by the
+    headers whether a response may be to this request; others are dropped and counted in
+    `dropped_responses`. `avoid` has the connections that have carried the same request
+    before, on which it couldn't tell.
     """
 
     make_head: Callable[[], bytes]
@@ -57,6 +62,8 @@
     on_end: Callable[[Exchange], None]
     without_body: bool = False
     max_body_bytes: int = MAX_BODY_BYTES
+    is_own_response: Callable[[list[HeaderField]], bool] | None = None
+    avoid: frozenset[HttpConnection] = frozenset()
     written: bool = False
     end: ExchangeEnd | None = None
     status: int = 0
@@ -66,6 +73,7 @@
     written_at: float = 0.0
     exceeded: str = ""
     cut_bytes: int = 0
+    dropped_responses: int = 0
     connection: HttpConnection | None = None
 
     def finish(self, end: ExchangeEnd) -> None:
@@ -182,13 +190,23 @@
             self._meter.body_bytes += len(part)
 
     def on_message_complete(self) -> None:
-        """Mark the response as complete; an interim (1xx) response is dropped."""
+        """Mark the response as complete.
+
+        An interim (1xx) response and one to another request are dropped.
+        """
         if self._complete:
             return
-        if 100 <= self.exchange.status < 200:
-            self.exchange.fields.clear()
-            self.exchange.status = 0
+        exchange = self.exchange
+        if 100 <= exchange.status < 200:
             self._meter.end_interim_response()
+            self._expect_next_response()
+            return
+        is_own = exchange.is_own_response
+        if is_own is not None and not is_own(exchange.fields):
+            exchange.dropped_responses += 1
+            self._meter.end_other_response()
+            self._drop_body()
+            self._expect_next_response()
             return
         self._complete = True
         # This must be checked here, because the parser loses the information once the
@@ -196,6 +214,10 @@
         if not self._parser.should_keep_alive():
             self._reusable = False
 
+    def _expect_next_response(self) -> None:
+        self.exchange.fields.clear()
+        self.exchange.status = 0
+
     # Methods for the pool.
 
     def send(self, exchange: Exchange, now: float) -> None:
@@ -322,13 +344,13 @@
         if self._closed:
             exchange.finish(ExchangeEnd.NOT_SENT)
             return
-        conn = self._pop_idle(now)
+        conn = self._pop_idle(now, exchange.avoid)
         if conn is not None:
             conn.send(exchange, now)
             return
         self._waiting.append(exchange)
-        if len(self._connecting) < len(self._waiting) and self.size < self.quota:
-            self._connect()
+        if len(self._connecting) < len(self._waiting):
+            self._connect_or_make_room()
 
     def cancel(self, exchange: Exchange) -> None:
         """Cancel an exchange; its connection is closed if the request was written."""
@@ -387,10 +409,13 @@
             return
         now = conn.idle_since = self._clock.monotonic()
         conn.idle_until = now + seconds
-        if self._waiting:
-            conn.send(self._waiting.popleft(), now)
-        else:
-            self._idle.append(conn)
+        exchange = self._pop_waiting(conn)
+        if exchange is not None:
+            conn.send(exchange, now)
+            return
+        self._idle.append(conn)
+        if self._waiting and not self._connecting:
+            self._connect_or_make_room()
 
     def remove(self, conn: HttpConnection, exchange: Exchange | None) -> None:
         """Remove a closed connection; `exchange` is the one it interrupted, if any."""
@@ -403,16 +428,42 @@
         if self._waiting and not self._connecting and self.size < self.quota:
             self._connect()
 
-    def _pop_idle(self, now: float) -> HttpConnection | None:
-        """Return the usable connection that was used last; close unusable ones."""
+    def _pop_idle(
+        self, now: float, avoid: frozenset[HttpConnection]
+    ) -> HttpConnection | None:
+        """Return the usable connection that was used last; close unusable ones.
+
+        Those to avoid stay idle.
+        """
         max_idle_s = self._idle_limit.limit_s(now)
-        while self._idle:
-            conn = self._idle.pop()
+        for conn in self._idle[::-1]:
+            if conn in avoid:
+                continue
+            self._idle.remove(conn)
             if conn.is_usable(now) and now - conn.idle_since <= max_idle_s:
                 return conn
             conn.close()
         return None
 
+    def _pop_waiting(self, conn: HttpConnection) -> Exchange | None:
+        """Return the first queued exchange that may use the connection."""
+        for exchange in self._waiting:
+            if conn not in exchange.avoid:
+                self._waiting.remove(exchange)
+                return exchange
+        return None
+
+    def _connect_or_make_room(self) -> None:
+        """Open a connection for a queued exchange that can't use an idle one.
+
+        If the quota is used up, an idle one is closed first; the next one is opened
+        once it has gone.
+        """
+        if self.size < self.quota:
+            self._connect()
+        elif self._idle:
+            self._idle.pop(0).close()
+
     def _remove_waiting(self, exchange: Exchange) -> None:
         if exchange in self._waiting:
             self._waiting.remove(exchange)
@@ -438,12 +489,12 @@
         self._report_connect(True)
 
     def _connect_failed(self) -> None:
-        """Fail the queued exchanges, unless an open connection can run them."""
+        """Fail the queued exchanges that no open connection can run."""
         self._report_connect(False)
-        if self._open:
-            return
-        waiting, self._waiting = self._waiting, collections.deque()
-        for exchange in waiting:
+        failed = [x for x in self._waiting if x.avoid.issuperset(self._open)]
+        for exchange in failed:
+            self._waiting.remove(exchange)
+        for exchange in failed:
             exchange.finish(ExchangeEnd.NOT_CONNECTED)
 
     def _report_connect(self, accepted: bool) -> None:
--- a/filbertshelf/transport/http1/message_bounds.py
+++ b/filbertshelf/transport/http1/message_bounds.py
@@ -13,6 +13,9 @@
 MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses before the final one."""
 
+MAX_OTHER_RESPONSES = 16
+"""Responses to other requests that are dropped before the one that is due."""
+
 MIN_FRAMING_BYTES = 16 * 1024
 """Chunk sizes, chunk extensions and trailers that any message may have, in bytes."""
 
@@ -38,6 +41,7 @@
         "_head_complete",
         "_interim_responses",
         "_max_body_bytes",
+        "_other_responses",
         "_received_bytes",
         "body_bytes",
         "fields",
@@ -48,6 +52,7 @@
         self._received_bytes = 0
         self._head_complete = False
         self._interim_responses = 0
+        self._other_responses = 0
         self.body_bytes = 0
         self.fields = 0
 
@@ -66,6 +71,15 @@
         self._head_complete = False
         self.fields = 0
 
+    def end_other_response(self) -> None:
+        """Count a response to another request and start to measure the next one."""
+        self._other_responses += 1
+        self._received_bytes = 0
+        self._interim_responses = 0
+        self._head_complete = False
+        self.body_bytes = 0
+        self.fields = 0
+
     def end_head(self) -> None:
         """Record that the headers are complete."""
         self._head_complete = True
@@ -76,6 +90,8 @@
             return "header lines"
         if self._interim_responses > MAX_INTERIM_RESPONSES:
             return "interim responses"
+        if self._other_responses > MAX_OTHER_RESPONSES:
+            return "other responses"
         if self.body_bytes > self._max_body_bytes:
             return "body"
         return ""
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -26,6 +26,7 @@
 from filbertshelf.state.routing import Limits
 from filbertshelf.transport.http1.server import HttpServer
 from test.platform.store_standin import StoreStandin
+from test.transport.serving import serving
 
 LOOPBACK = ("127.0.0.1", 0)
 
@@ -466,3 +467,67 @@
     gateway._pause_monitor._monotonic_at -= 5.0
     await wait_until(lambda: any(line["event"] == 104 for line in log))
     await wait_until(lambda: len(deployment.store.calls) > calls, 0.5)
+
+
+class LateTarget:
+    """A target that refuses the first sending and repeats its answers late.
+
+    Each answer comes once more before the next one on the same connection, as a copy.
+    """
+
+    id = "i-late"
+
+    def __init__(self):
+        self.runs: list[bytes] = []
+        self.refused = False
+
+    async def handle(self, reader, writer) -> None:
+        """Serve one connection."""
+        last_answer = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(int(header_of(head, b"content-length")))
+                writer.write(last_answer)
+                last_answer = self.answer(header_of(head, b"request-id"))
+                writer.write(last_answer)
+
+    def answer(self, request_id: bytes) -> bytes:
+        """Refuse the first request, and run the others."""
+        common = b"Request-Id: " + request_id + b"\r\nContent-Length: 0\r\n\r\n"
+        if not self.refused:
+            self.refused = True
+            return b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + common
+        self.runs.append(request_id)
+        return b"HTTP/1.1 200 OK\r\nServer-Stamp: s." + request_id + b"\r\n" + common
+
+
+def header_of(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header of a request."""
+    (line,) = [x for x in head.split(b"\r\n") if x.lower().startswith(name + b":")]
+    return line.partition(b":")[2].strip()
+
+
+async def test_a_late_copy_of_a_refusal_is_not_the_answer_to_the_next_sending(
+    deployment, log
+):
+    # Guards against a booking that runs twice, or that is refused though it ran: the
+    # copy names the same request as the due answer.
+    gateway = deployment.gateways[0]
+    target = LateTarget()
+    async with serving(target.handle) as address:
+        entry = deployment.targets[0].entry("late")
+        entry |= {"address": "{}:{}".format(*address)}
+        deployment.store.put(f"servers/{target.id}", entry)
+        late = {"name": "late", "host": "h", "prefix": "/late/", "service": "late"}
+        late |= {"kind": "unsafe", "timeoutMs": 900, "maxAttempts": 1}
+        deployment.publish(2, routes=[late])
+        await wait_until(lambda: gateway.feed.table.version == 2)
+        await wait_until(lambda: target.id in gateway.targets.states())
+        answers = [
+            await deployment.send_request("/late/x", f"r{n}", b"racks")
+            for n in range(6)
+        ]
+    assert [status for status, _, _ in answers] == [200] * 6
+    assert target.runs == [b"r%d" % n for n in range(6)]
+    assert any(line["event"] == 216 for line in log)
--- a/test/transport/test_http_client.py
+++ b/test/transport/test_http_client.py
@@ -250,3 +250,87 @@
         await asyncio.sleep(0.3)
     assert ends.count(ExchangeEnd.LOST) == 1
     assert ends[2:] == [ExchangeEnd.RESPONDED] * 4
+
+
+async def test_a_request_is_not_sent_again_over_a_connection_that_carried_it(pool_of):
+    # Guards against a late copy of the first response that is taken for the second one:
+    # both name the same request.
+    server = Server(ONE % 1, ONE % 1)
+    pool = await pool_of(server, quota=2)
+    first = await run(pool)
+    second = await run(pool, avoid=frozenset({first.connection}))
+    assert second.connection is not first.connection
+    # Both connections are kept for other requests.
+    assert pool.size == 2
+
+
+async def test_a_used_connection_makes_room_if_the_quota_allows_no_other(pool_of):
+    # Guards against a request that waits forever for the only connection.
+    server = Server(ONE % 1, ONE % 2)
+    pool = await pool_of(server)
+    first = await run(pool)
+    second = await run(pool, avoid=frozenset({first.connection}))
+    assert second.connection is not first.connection
+    assert pool.size == 1
+
+
+async def test_a_released_connection_goes_to_a_request_that_may_use_it(pool_of):
+    server = Server(ONE % 1, ONE % 2, ONE % 3)
+    pool = await pool_of(server)
+    first = await run(pool)
+    running = submit(pool)
+    again = submit(pool, avoid=frozenset({first.connection}))
+    other = submit(pool)
+    ended = await asyncio.wait_for(asyncio.gather(running, again, other), 3)
+    assert ended[0].connection is ended[2].connection is first.connection
+    assert ended[1].connection is not first.connection
+
+
+async def test_a_request_without_a_connection_to_use_ends_as_not_connected():
+    # Guards against a wait until the deadline at a target that takes no further
+    # connections.
+    server = Server(ONE % 1)
+    async with serving(server.handle) as address:
+        pool = ConnectionPool(address, 2, SystemClock())
+        first = await run(pool)
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            pool.address = closed.getsockname()
+            second = await run(pool, avoid=frozenset({first.connection}))
+        pool.close()
+    assert second.end is ExchangeEnd.NOT_CONNECTED
+    assert not second.written
+
+
+def names_response(number: int):
+    """Return the check that a response names the number."""
+    return lambda fields: (b"Id", b"%d" % number) in fields
+
+
+@pytest.mark.parametrize("copies", [1, 3])
+async def test_a_late_response_to_another_request_is_dropped(pool_of, copies):
+    # Guards against an extra response that takes the place of the due one, which then
+    # takes the place of the next.
+    server = Server(ONE % 1, ONE % 1 * copies + ONE % 2, ONE % 3)
+    pool = await pool_of(server)
+    bodies = []
+    for number in (1, 2, 3):
+        exchange = await run(pool, is_own_response=names_response(number))
+        assert exchange.fields[-1] == (b"Id", b"%d" % number)
+        bodies.append(exchange.response_body)
+    assert bodies == [b"ok"] * 3
+    assert server.connections == 1
+
+
+async def test_endless_responses_to_other_requests_end_as_malformed(pool_of):
+    pool = await pool_of(Server(ONE % 1 * 100))
+    exchange = await run(pool, is_own_response=names_response(2))
+    assert exchange.end is ExchangeEnd.MALFORMED
+    assert exchange.exceeded == "other responses"
+
+
+async def test_long_responses_to_other_requests_are_no_overhead(pool_of):
+    long = b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90_000
+    pool = await pool_of(Server(long * 3 + ONE % 2))
+    exchange = await run(pool, is_own_response=names_response(2))
+    assert (exchange.end, exchange.response_body) == (ExchangeEnd.RESPONDED, b"ok")
