Match delegated answers by process, and keep what a silent delegate may have run

And, found by reading: a query whose delegate didn't reply, which then moved with nothing sent here and found no substitute, was refused with 503 as not run, though the delegate may have run it.

Cause: delegated queries were numbered from 1 in each process, and answers were matched by the number alone; a hand-over replaced what was known of earlier attempts by its own.

The key now begins with a random token of the process, and a hand-over only adds to what may have run.

--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import secrets
 from collections.abc import Callable, Collection, Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -116,6 +117,8 @@
         self._context = context
         self._peers = peers
         self._rng = rng
+        # A process that starts anew on this address must not take its answers.
+        self._process_token = secrets.token_hex(8)
         self._keys = itertools.count(1)
         self._avoided_until: dict[str, float] = {}
         self._connecting: set[str] = set()
@@ -190,7 +193,7 @@
 
     def add_pending(self, on_answer: Callable[[DelegationAnswer], None]) -> str:
         """Register a request that waits for an answer and return its new key."""
-        key = str(next(self._keys))
+        key = f"{self._process_token}.{next(self._keys)}"
         self._pending[key] = on_answer
         return key
 
--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -157,7 +157,7 @@
         asked = self._local.hand_over()
         if asked is None:
             return False
-        self._may_have_run = asked > 0
+        self._may_have_run = self._may_have_run or asked > 0
         self._move(self._request.max_targets - asked)
         return True
 
--- a/test/coordination/test_delegation.py
+++ b/test/coordination/test_delegation.py
@@ -326,3 +326,55 @@
     """Return a query as it is sent to a delegate."""
     fields = ((b"Host", b"h"), (b"Id", b"r1"))
     return DelegationRequest("1", b"GET", b"/x/1", fields, b"", 0.0, 4)
+
+
+async def test_an_answer_to_a_killed_process_is_not_taken_by_its_successor(pair):
+    # Guards against another caller's answer: a process that starts on the address of
+    # one that was killed numbered its queries from the same start.
+    await pair.start(pair.routed_request())
+    successor = Delegation(
+        pair.simulation.context, pair.peers["front"], random.Random(1)
+    )
+    successor.delegates = pair.front.delegates
+    await successor.start()
+    pair.front, killed = successor, pair.front
+    await pair.start(pair.routed_request())
+    first, second = pair.served
+    first.on_result(RoutedResult(Response(200, (), b"others"), "whole", 2, 0))
+    await pair.run_pending_tasks()
+    assert pair.results == []
+    second.on_result(RoutedResult(Response(200, (), b"own"), "whole", 2, 0))
+    await pair.run_pending_tasks()
+    assert [result.response.body for result in pair.results] == [b"own"]
+    await killed.stop()
+
+
+class IdleRunner:
+    """Runs a request here without sending anything."""
+
+    def start(self):
+        """Send nothing."""
+
+    def hand_over(self):
+        """Return that no target has been asked."""
+        return 0
+
+
+async def test_a_move_does_not_forget_that_a_silent_delegate_may_have_run_it(pair):
+    # Guards against an untrue refusal of a query whose first delegate didn't reply, and
+    # which then moved with nothing sent here and found no substitute.
+    pair.peers["hub"].silent = True
+    pair.front.full_mesh = False
+    run = RequestRun(
+        pair.simulation.context,
+        pair.front,
+        pair.routed_request(),
+        lambda on_end: IdleRunner(),
+        pair.results.append,
+    )
+    run.start()
+    await pair.run_pending_tasks()
+    run.on_cut_off()
+    await pair.run_pending_tasks()
+    (result,) = pair.results
+    assert (result.response.status, result.outcome) == (502, "unknown")
