Read the body of a request that offers another protocol

Cause: the parser ends such a message at its head, and the server took it for the whole request.

The head is now fed again without the offer, and the rest of the data after it.

--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -24,6 +24,7 @@
 from filbertshelf.supervision import log_unexpected
 from filbertshelf.transport.http1.message_bounds import max_framing_bytes
 from filbertshelf.transport.http1.sockets import set_tcp_options
+from filbertshelf.transport.http1.upgrade import head_without_offer
 
 BACKLOG = 1_024
 # Complete requests of one connection that may be queued behind the current one.
@@ -119,16 +120,38 @@
         if self._phase is Phase.IDLE:
             self._enter_phase(Phase.HEAD)
         self._message_bytes += len(data)
+        self._parse(data)
+        self._check_overhead()
+        self._start_next()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is handled without the upgrade. The bytes after it may belong
-            # to another protocol, so the connection is closed after the response.
-            self._disable_keep_alive()
+        except httptools.HttpParserUpgrade as exc:
+            if self._offers_upgrade:
+                # The parser ends the message at its head. Without the offer it reads
+                # the body and what follows.
+                rest = data[exc.args[0] :]
+                head = self._head_without_offer()
+                self._parser = httptools.HttpRequestParser(self)
+                self._parse(head + rest)
+            else:
+                # Bytes after CONNECT are for another server.
+                self._disable_keep_alive()
         except httptools.HttpParserError as exc:
             self._refuse(400, str(exc) or "the request is malformed")
-        self._check_overhead()
-        self._start_next()
+
+    @property
+    def _offers_upgrade(self) -> bool:
+        """Return whether the message at hand offers another protocol."""
+        parser = self._parser
+        return parser.should_upgrade() and parser.get_method() != b"CONNECT"
+
+    def _head_without_offer(self) -> bytes:
+        parser = self._parser
+        return head_without_offer(
+            parser.get_method(), self._target, parser.get_http_version(), self._fields
+        )
 
     def eof_received(self) -> bool:
         """Close the connection: a half-closed one counts as a caller that left."""
@@ -160,6 +183,9 @@
 
     def on_headers_complete(self) -> None:
         """Check the sizes of the headers and the body before the body arrives."""
+        if self._offers_upgrade:
+            # They come again without the offer.
+            return
         self._headers_complete = True
         size = sum(len(name) + len(value) + 4 for name, value in self._fields)
         if size + len(self._target) > self._limits.header_bytes:
@@ -187,7 +213,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
-        if self._refusal is not None:
+        if self._refusal is not None or self._offers_upgrade:
             return
         req = Request(
             self._parser.get_method(),
--- a/test/transport/test_http_server.py
+++ b/test/transport/test_http_server.py
@@ -248,6 +248,59 @@
     assert statuses(await response) == [503, 200, 200]
 
 
+OFFERS = {
+    "h2c": b"Connection: Upgrade, HTTP2-Settings\r\n"
+    b"Upgrade: h2c\r\nHTTP2-Settings: AA\r\n",
+    "websocket": b"Connection: keep-alive, upgrade\r\nUpgrade: websocket\r\n",
+    "two lines": b"Connection: upgrade\r\nConnection: x-y\r\nUpgrade: h2c, foo\r\n",
+}
+FRAMINGS = {
+    "length": (b"Content-Length: 5\r\n\r\n", b"racks"),
+    "chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"2\r\nra\r\n3\r\ncks\r\n0\r\n\r\n",
+    ),
+    "none": (b"Content-Length: 0\r\n\r\n", b""),
+}
+
+
+@pytest.mark.parametrize("part_bytes", [1, 7, 1_000])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("offer", OFFERS)
+async def test_an_offer_of_another_protocol_is_ignored(
+    server, app, offer, framing, part_bytes
+):
+    # Guards against a body that is lost: the parser takes it for bytes of the offered
+    # protocol, and a booking ran without its body.
+    end, body = FRAMINGS[framing]
+    data = b"POST /x HTTP/1.1\r\nHost: h\r\nX-Y: 1\r\n" + OFFERS[offer] + end + body
+    data += GET + GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    parts = [data[at : at + part_bytes] for at in range(0, len(data), part_bytes)]
+    answer = await send_and_read(server, *parts)
+    assert statuses(answer) == [200, 200, 200]
+    first = app.seen[0]
+    assert first.body == (b"racks" if body else b"")
+    assert (b"X-Y", b"1") in first.fields
+    assert [req.method for req in app.seen] == [b"POST", b"GET", b"GET"]
+
+
+async def test_an_offer_beside_expect_gets_one_interim_response(server):
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n" + OFFERS["h2c"]
+    last = b"Content-Length: 2\r\n\r\n"
+    data = await send_and_read(
+        server, head + last, b"ok", GET[:-2], b"Connection: close\r\n\r\n"
+    )
+    assert statuses(data) == [100, 200, 200]
+
+
+async def test_a_tunnel_is_not_opened(server, app):
+    # Guards against bytes for another server that are read as a request.
+    head = b"CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n"
+    data = await send_and_read(server, head + GET)
+    assert len(statuses(data)) == 1
+    assert len(app.seen) <= 1
+
+
 POST_CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
