Play rolling upgrades under load, and check leaving targets in the soak

`make mixed` replaces four gateways one by one, to the new build and back, while callers send and a configuration is published, a target drains and a gateway is killed; all checks of the soak must hold. The soak's targets say that they leave, and a new check finds requests that they still get.

An instance now believes a notice of a leaving target for 60 s: a target may leave for longer than 30 s while the listing lags.

--- a/filbertshelf/coordination/target_statements.py
+++ b/filbertshelf/coordination/target_statements.py
@@ -23,7 +23,7 @@
 RESPONSE = "response"
 """Sources of what is known of a target; another one is the id of an instance."""
 
-LEAVING_NOTICE_S = 30.0
+LEAVING_NOTICE_S = 60.0
 """How long an instance believes another one that a target leaves."""
 
 LEAVING_NOTICE_SPREAD_S = 1.0
--- a/test/mixed_builds.py
+++ b/test/mixed_builds.py
@@ -29,6 +29,7 @@
 from filbertshelf.explain import find_messages
 from filbertshelf.standins.deployments import PROFILES
 from filbertshelf.standins.profiles import scale_profile
+from test.rolling_upgrade import RollingUpgrade
 from test.soak import fleet as soak_fleet
 from test.soak.callers import Caller
 from test.soak.fleet import SoakFleet
@@ -45,6 +46,13 @@
 CHANGE_IN_FORCE_S = 8.0
 MEMBERS_KNOWN_S = 10.0
 QUERIES_PER_GATEWAY = 20
+UPGRADED_GATEWAYS = 4
+MIN_REQUESTS = 500
+"""Requests of a replacement under load; with fewer it shows nothing."""
+
+OLD_FAULTS = ("DRAIN",)
+"""Guarantees that the older build doesn't keep."""
+
 QUERY_DELEGATED = 213
 """The number of the event that a sender of queries logs."""
 
@@ -316,6 +324,26 @@
         await fleet.close()
 
 
+async def check_upgrade(before: Path, after: Path, seed: int, folder: Path) -> Check:
+    """Return the check that a rolling replacement keeps all guarantees.
+
+    Builds without the header of leaving targets break only their drain.
+    """
+    fleet = SoakFleet(seed, folder, UPGRADED_GATEWAYS)
+    fleet.gateways = [
+        BuildGateway(before, gateway.name, gateway.ip, gateway.zone, folder)
+        for gateway in fleet.gateways
+    ]
+    try:
+        await fleet.start()
+        violations = await RollingUpgrade(fleet, OLD_FAULTS).run(after)
+    finally:
+        await fleet.close()
+    count = len(fleet.history.requests)
+    text = f"{count} requests while {before} is replaced by {after}: {violations[:3]}"
+    return Check(text, count > MIN_REQUESTS and not violations)
+
+
 async def check_builds(old: Path) -> bool:
     """Print all checks and return whether all of them hold."""
     folder = Path(tempfile.mkdtemp(prefix="mixed-builds-"))
@@ -325,6 +353,9 @@
     ]
     found += await check_instances(old, folder)
     found += await check_gateways(old, folder)
+    for seed, (before, after) in enumerate([(old, HERE), (HERE, old)], start=2):
+        logs = Path(tempfile.mkdtemp(prefix="upgrade-", dir=folder))
+        found.append(await check_upgrade(before, after, seed, logs))
     for check in found:
         print("ok  " if check.passed else "FAIL", check.text)
     passed = sum(check.passed for check in found)
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -117,6 +117,7 @@
         request.answer = await self._reader.readexactly(length)
         request.status = int(lines[0].split(" ")[1])
         request.stamp = headers.get("server-stamp", "")
+        request.says_leaving = headers.get("server-leaving") == "1"
         stamps = headers.get("part-stamps", "")
         request.part_stamps = tuple(s.strip() for s in stamps.split(",") if s.strip())
         request.missing_parts = int(headers.get("missing-parts", 0))
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -165,6 +165,24 @@
                 break
 
 
+def check_leaving_targets(history: History) -> Iterator[str]:
+    """Yield a line for each request that a target got after it had said it leaves.
+
+    Only requests count that came to a process which had passed on such an answer.
+    """
+    left_at: dict[tuple[str, int, str], float] = {}
+    for request in history.requests:
+        if request.says_leaving:
+            target = request.stamp.partition(".")[0]
+            key = (request.gateway, request.boot, target)
+            left_at[key] = min(left_at.get(key, math.inf), request.ended_at)
+    for request in history.requests:
+        for run in history.runs.get(request.request_id, []):
+            key = (request.gateway, request.boot, run.target)
+            if request.sent_at > left_at.get(key, math.inf) + TOLD_SLACK_S:
+                yield f"DRAIN {request}: {run}"
+
+
 def _limited_run_times(history: History, limit: RateLimit) -> Iterator[float]:
     """Yield the starts of runs that a gateway knew the limit for.
 
@@ -208,6 +226,7 @@
     check_versions_do_not_decrease,
     check_deadlines,
     check_rate_limits,
+    check_leaving_targets,
 )
 
 
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -72,6 +72,8 @@
     stamp: str = ""
     part_stamps: tuple[str, ...] = ()
     missing_parts: int = 0
+    says_leaving: bool = False
+    """Whether the answer says that its target leaves."""
     answer: bytes = b""
     reason: str = ""
 
--- a/test/soak/targets.py
+++ b/test/soak/targets.py
@@ -8,7 +8,7 @@
 import random
 
 from filbertshelf.clock import SystemClock
-from filbertshelf.protocol.http_messages import Response, find_field
+from filbertshelf.protocol.http_messages import HeaderField, Response, find_field
 from filbertshelf.state.routing import Limits
 from filbertshelf.transport.http1.server import HttpServer, Request
 from test.soak.history import Answer, History, RateLimit, Run
@@ -85,10 +85,11 @@
 
     def handle(self, req: Request) -> None:
         """Refuse a request, or run it after its time in the queue."""
+        refusal = ((b"Not-Executed", b"1"), *self._leaving_fields())
         if find_field(req.fields, b"expect-instance") != self.id.encode():
-            req.reply(Response(421, ((b"Not-Executed", b"1"),)))
+            req.reply(Response(421, refusal))
         elif self._accepted >= SLOTS + QUEUE:
-            req.reply(Response(503, ((b"Not-Executed", b"1"),)))
+            req.reply(Response(503, refusal))
         else:
             self._accepted += 1
             run_s = self.work_s * self.slow_factor * self._rng.uniform(0.6, 1.6)
@@ -129,11 +130,16 @@
         fields = [
             (b"Server-Stamp", stamp.encode()),
             (b"Request-Id", request_id.encode()),
+            *self._leaving_fields(),
         ]
         if self.rate_limit is not None:
             fields.append((b"Server-Limit", b"%.1f" % self.rate_limit.per_s))
         req.reply(Response(status, tuple(fields), body))
 
+    def _leaving_fields(self) -> list[HeaderField]:
+        """Return the header with which a target that leaves says so."""
+        return [] if self.state == "ready" else [(b"Server-Leaving", b"1")]
+
 
 def records(service: str, request_id: str) -> bytes:
     """Return the records with which every target of a service answers a request."""
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -100,6 +100,15 @@
     return history
 
 
+def leaving_history(sent_at: float) -> History:
+    """Return a history with a request after an answer of a target that leaves."""
+    answer = attrs.evolve(make_answer("t1.1", "desk", 1), body=b"")
+    first = make_request("one", status=200, stamp="t1.1", ended_at=1.1)
+    first.says_leaving = True
+    second = make_request("one", 2, sent_at=sent_at)
+    return make_history(first, second, runs=[make_run("desk", 2)], answers=[answer])
+
+
 BOOKING = {"method": b"POST", "path": b"/book/1"}
 VIOLATING_HISTORIES = {
     "TWICE": make_history(make_request("book"), runs=[make_run("desk", **BOOKING)] * 2),
@@ -135,6 +144,7 @@
         ],
     ),
     "LIMIT": limited_history(12),
+    "DRAIN": leaving_history(3.0),
     "CONFIG back": make_history(
         make_request("move", 1),
         make_request("move", 2),
@@ -164,6 +174,7 @@
         single_history(),
         limited_history(11),
         limited_history(40, told=False),
+        leaving_history(1.3),
     ],
 )
 def test_a_correct_history_has_no_violations(history):
