Split the HTTP client and the gateway's notices into modules of one job

`transport/http1/client` becomes `exchange`, `connection` and `pool`; the gateway's notices move to `coordination/fleet_notices`. A request holds how many targets may be asked in place of how many may not, which three places computed back.

--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -220,7 +220,7 @@
 
     def start_task(self, coro: Coroutine[Any, Any, None]) -> None:
         """Start a task for which the service waits when it stops."""
-        self.add_future(contained(coro, coro.__qualname__))
+        self.add_future(contained(coro, "a task of the delegation"))
 
     async def _on_answer(self, _sender: Sender, msg: DelegationAnswer) -> None:
         on_answer = self._pending.pop(msg.key, None)
@@ -270,8 +270,7 @@
     async def _on_confirmed(self, sender: Sender, msg: DelegationConfirmed) -> None:
         served = self._serving.get((sender.address, msg.key))
         if served is not None:
-            request = served.request
-            request.withheld_targets = request.route.max_attempts - served.max_targets
+            served.request.max_targets = served.max_targets
 
     async def _on_cancelled(self, sender: Sender, msg: DelegationCancelled) -> None:
         served = self._serving.pop((sender.address, msg.key), None)
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -16,17 +16,16 @@
 from filbertshelf.coordination.delegation import Delegation
 from filbertshelf.coordination.feed import Feed, FeedListener, PlatformSource
 from filbertshelf.coordination.feed_config import Decoder
+from filbertshelf.coordination.fleet_notices import FleetNotices
 from filbertshelf.coordination.listed_targets import ListedTargets
 from filbertshelf.coordination.membership import Membership
 from filbertshelf.coordination.notices import Notices
 from filbertshelf.coordination.routed_request import RoutingContext, Timer
 from filbertshelf.coordination.router import DEFAULT_LIMITS, Router
-from filbertshelf.coordination.target_statements import LEAVING_NOTICE_S
 from filbertshelf.errors import SettingsError
 from filbertshelf.gateway_metrics import GatewayMetrics, MetricsHandler
 from filbertshelf.gateway_settings import GatewaySettings
 from filbertshelf.protocol.http_messages import Response
-from filbertshelf.protocol.notices import Notice, Topic
 from filbertshelf.protocol.target_responses import HeaderNames, ResponseClassifier
 from filbertshelf.settings import settings_digest
 from filbertshelf.state.crashes import CrashCounter
@@ -36,7 +35,7 @@
 from filbertshelf.state.members import Identity
 from filbertshelf.state.pause import PauseMonitor
 from filbertshelf.state.routing import Limits
-from filbertshelf.state.withholding import Cause, LeavingTarget
+from filbertshelf.state.withholding import Cause
 from filbertshelf.supervision import contain_errors
 from filbertshelf.transport.http1.server import HttpServer, Request
 from filbertshelf.transport.log_pipe import LogPipe
@@ -60,9 +59,6 @@
 
 DRAIN_CHECK_INTERVAL_S = 0.05
 
-MAX_START_DIGITS = 19
-"""Digits of the time of a target's start in a notice; a longer one is malformed."""
-
 
 class SettingsSource(Protocol):
     """The source of the settings."""
@@ -127,15 +123,18 @@
             instance, identity, self.clock, self.peers, self._rng
         )
         self.notices = Notices(self.peers, self.membership)
+        self.crashes = CrashCounter(self.clock)
+        self.fleet_notices = FleetNotices(
+            instance.name, self.notices, self.crashes, self.metrics
+        )
         self.targets = ListedTargets(
             cfg,
             self.clock,
             self._rng,
             _call_later,
-            on_limit_ended=self._broadcast_limit_end,
-            on_leaving=self._broadcast_leaving,
+            on_limit_ended=self.fleet_notices.announce_limit_end,
+            on_leaving=self.fleet_notices.announce_leaving,
         )
-        self.crashes = CrashCounter(self.clock)
         self.context = RoutingContext(
             self.clock,
             _call_later,
@@ -143,7 +142,7 @@
             header_names,
             ResponseClassifier(header_names),
             self.crashes,
-            self._on_request_crash,
+            self.fleet_notices.announce_crash,
         )
         self.feed = Feed(
             cfg,
@@ -173,9 +172,7 @@
         self._stopping = False
         self._fleet_size = FleetSizeEstimator(self.clock.monotonic())
         self._was_ready = False
-        self.notices.subscribe(Topic.REQUEST_CRASHED, self._on_crash_notice)
-        self.notices.subscribe(Topic.RATE_LIMIT_ENDED, self._on_limit_end_notice)
-        self.notices.subscribe(Topic.TARGET_LEAVING, self._on_leaving_notice)
+        self.fleet_notices.subscribe(self.targets.statements)
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -249,56 +246,6 @@
         """Return whether callers may be sent here."""
         return self.feed.ready and not self._stopping
 
-    # Requests that crash targets.
-
-    def _on_request_crash(self, fingerprint: str, request_id: str, deaths: int) -> None:
-        self.metrics.target_crashes.inc()
-        source = self.cfg.instance.name
-        if self._count_crash(fingerprint, request_id, deaths, source):
-            subject = f"{fingerprint} {request_id}"
-            self.notices.broadcast(Topic.REQUEST_CRASHED, subject, float(deaths))
-
-    def _on_crash_notice(self, notice: Notice) -> None:
-        fingerprint, _, request_id = notice.subject.partition(" ")
-        self._count_crash(fingerprint, request_id, int(notice.seconds), notice.origin)
-
-    def _count_crash(
-        self, fingerprint: str, request_id: str, deaths: int, source: str
-    ) -> bool:
-        """Count a crash and return whether it was new."""
-        crashes = self.crashes.record_crash(fingerprint, request_id, deaths)
-        if crashes is None:
-            return False
-        events.emit(
-            events.REQUEST_CRASH_COUNTED,
-            request_id=request_id,
-            fingerprint=fingerprint,
-            crashes=crashes,
-            source=source,
-        )
-        return True
-
-    # Rate limits of targets.
-
-    def _broadcast_limit_end(self, target_id: str) -> None:
-        self.notices.broadcast(Topic.RATE_LIMIT_ENDED, target_id, 0.0)
-
-    def _on_limit_end_notice(self, notice: Notice) -> None:
-        self.targets.statements.end_rate_limit(notice.subject, notice.origin)
-
-    # Targets that leave.
-
-    def _broadcast_leaving(self, target: LeavingTarget) -> None:
-        subject = f"{target.started_ms} {target.id}"
-        self.notices.broadcast(Topic.TARGET_LEAVING, subject, LEAVING_NOTICE_S)
-
-    def _on_leaving_notice(self, notice: Notice) -> None:
-        started_ms, _, target_id = notice.subject.partition(" ")
-        if not started_ms.isdecimal() or len(started_ms) > MAX_START_DIGITS:
-            return
-        target = LeavingTarget(target_id, int(started_ms))
-        self.targets.statements.hear_leaving(target, notice.seconds, notice.origin)
-
     def _on_lines_dropped(self, count: int) -> None:
         self.metrics.dropped_log_lines.inc(count)
         events.emit(events.LOG_LINES_DROPPED, count=count)
--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -22,7 +22,7 @@
 from filbertshelf.state.hedging import LATE_HEDGE_SHARE, are_targets_loaded
 from filbertshelf.state.outcome import Reason
 from filbertshelf.state.records import greatest_records
-from filbertshelf.transport.http1.client import Exchange
+from filbertshelf.transport.http1.exchange import Exchange
 
 MAX_LOGGED_MISSING = 8
 """Maximum number of missing shards in the log line of a request."""
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -31,8 +31,9 @@
 from filbertshelf.state.selection import Candidate, choose_cheapest
 from filbertshelf.state.target_rate import TargetRate
 from filbertshelf.state.withholding import Cause, LeavingTarget
-from filbertshelf.transport.http1.client import ConnectionPool, Exchange, ExchangeEnd
+from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
 from filbertshelf.transport.http1.message_bounds import HeldBytes
+from filbertshelf.transport.http1.pool import ConnectionPool
 
 CONNECTION_SHARE = 0.9
 """The fraction of a target's connections that is used; a busy target accepts fewer."""
--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -217,7 +217,7 @@
         if not own_targets:
             self._finish(RoutedResult(error_response(502), "unknown", 0, 0))
             return
-        self._request.withheld_targets = route.max_attempts - own_targets
+        self._request.max_targets = own_targets
         self._start_local()
 
     def _finish(self, result: RoutedResult) -> None:
--- a/filbertshelf/coordination/routed_request.py
+++ b/filbertshelf/coordination/routed_request.py
@@ -83,9 +83,9 @@
     deadline: float
     """When the caller's deadline or the route's timeout expires, whichever is first."""
     log_limit: RequestLogLimit
-    withheld_targets: int = 0
-    """How many targets of each shard are left to another instance, which may be running
-    the request too."""
+    max_targets: int
+    """How many targets of each shard this instance may ask at most; the others are left
+    to another instance, which may be running the request too."""
     return_margin_s: float = RETURN_MARGIN_S
     """Seconds before the latency objective at which the answer must be sent at the
     latest."""
@@ -112,7 +112,15 @@
             http_request.target,
         )
         log_limit = RequestLogLimit(context.log_limit)
-        request = cls(http_request, request_id, route, table, deadline, log_limit)
+        request = cls(
+            http_request,
+            request_id,
+            route,
+            table,
+            deadline,
+            log_limit,
+            route.max_attempts,
+        )
         request._head_prefix = request_line + render_fields(fields)
         return request
 
@@ -122,11 +130,6 @@
         received_at = self.http_request.received_at
         return received_at + self.route.latency_objective_s - self.return_margin_s
 
-    @property
-    def max_targets(self) -> int:
-        """Return how many targets of each shard this instance may ask at most."""
-        return self.route.max_attempts - self.withheld_targets
-
     @property
     def max_response_bytes(self) -> int:
         """Return how long the body of a target's response may be."""
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -192,8 +192,7 @@
             return DelegationRefusal("the configuration has no such route")
         route = request.route
         left = targets_left(route, msg)
-        own_targets = left - max_targets_of_sender(route, left)
-        request.withheld_targets = route.max_attempts - own_targets
+        request.max_targets = left - max_targets_of_sender(route, left)
         request.return_margin_s = RETURN_MARGIN_S + HOP_RETURN_MARGIN_S
 
         def log_and_report(result: RoutedResult) -> None:
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -18,11 +18,8 @@
 from filbertshelf.state.hedging import is_worthwhile
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.routing import Repeat
-from filbertshelf.transport.http1.client import (
-    Exchange,
-    ExchangeEnd,
-    HttpConnection,
-)
+from filbertshelf.transport.http1.connection import HttpConnection
+from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
 
 MAX_SUB_REQUESTS = 4
 """Maximum number of sub-requests for one shard of a request, hedges included."""
--- a/filbertshelf/coordination/target_entries.py
+++ b/filbertshelf/coordination/target_entries.py
@@ -13,7 +13,7 @@
 from filbertshelf.state.selection import Candidate
 from filbertshelf.state.target_rate import TargetRate
 from filbertshelf.state.withholding import Cause, Withholding
-from filbertshelf.transport.http1.client import Exchange
+from filbertshelf.transport.http1.exchange import Exchange
 
 DEFAULT_CONNECTIONS = 32
 """Connection limit of a target whose service is in no configuration yet."""
--- /dev/null
+++ b/filbertshelf/transport/http1/exchange.py
@@ -0,0 +1,74 @@
+"""One request to a server and its response."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertshelf.protocol.http_messages import HeaderField
+from filbertshelf.transport.http1.message_bounds import MAX_BODY_BYTES
+
+if TYPE_CHECKING:
+    from filbertshelf.transport.http1.connection import HttpConnection
+
+
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended."""
+
+    RESPONDED = "responded"
+    NOT_CONNECTED = "not connected"
+    NOT_SENT = "not sent"
+    LOST = "connection lost"
+    MALFORMED = "malformed response"
+    CANCELLED = "cancelled"
+
+
+@attrs.define(eq=False, slots=True)
+class Exchange:
+    """One request and its response; `on_end` is called exactly once.
+
+    `make_head` returns the request line and the headers; it is called when the
+    request is written, which may be long after it was queued. `written` says whether
+    the server may have read the request. `without_body` says that the response has
+    no body, as after HEAD. A response with a longer body than `max_body_bytes` is
+    malformed; `exceeded` then names the bound, and `cut_bytes` is the length so far.
+
+    A server may send copies of earlier responses late. `is_own_response` tells by the
+    headers whether a response may be to this request; others are dropped and counted in
+    `dropped_responses`. `avoid` has the connections that have carried the same request
+    before, on which it couldn't tell.
+
+    `on_watched_head` is called with the status and the headers of each response that
+    has a header of `watched_fields` (lower-case names), as soon as its head is
+    complete; interim and dropped responses count too.
+    """
+
+    make_head: Callable[[], bytes]
+    body: bytes
+    on_end: Callable[[Exchange], None]
+    without_body: bool = False
+    max_body_bytes: int = MAX_BODY_BYTES
+    is_own_response: Callable[[list[HeaderField]], bool] | None = None
+    avoid: frozenset[HttpConnection] = frozenset()
+    watched_fields: frozenset[bytes] = frozenset()
+    on_watched_head: Callable[[int, list[HeaderField]], None] | None = None
+    written: bool = False
+    end: ExchangeEnd | None = None
+    status: int = 0
+    fields: list[HeaderField] = attrs.field(factory=list)
+    response_body: bytes = b""
+    started_at: float = 0.0
+    written_at: float = 0.0
+    exceeded: str = ""
+    cut_bytes: int = 0
+    dropped_responses: int = 0
+    connection: HttpConnection | None = None
+
+    def finish(self, end: ExchangeEnd) -> None:
+        """Record the end and call `on_end`, unless the exchange has already ended."""
+        if self.end is None:
+            self.end = end
+            self.on_end(self)
--- a/filbertshelf/transport/http1/fetch.py
+++ b/filbertshelf/transport/http1/fetch.py
@@ -6,7 +6,8 @@
 
 from filbertshelf.clock import Clock
 from filbertshelf.errors import FetchError
-from filbertshelf.transport.http1.client import ConnectionPool, Exchange, ExchangeEnd
+from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
+from filbertshelf.transport.http1.pool import ConnectionPool
 
 
 class Fetcher:
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -38,11 +38,8 @@
     WeightedService,
 )
 from filbertshelf.state.withholding import LeavingTarget
-from filbertshelf.transport.http1.client import (
-    CONNECT_TIMEOUT_S,
-    Exchange,
-    ExchangeEnd,
-)
+from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
+from filbertshelf.transport.http1.pool import CONNECT_TIMEOUT_S
 from filbertshelf.transport.http1.server import Request
 
 HEADER_NAMES = HeaderNames(
--- a/test/coordination/test_delegation.py
+++ b/test/coordination/test_delegation.py
@@ -73,9 +73,8 @@
         if self.refusal_reason:
             return DelegationRefusal(self.refusal_reason)
         request = self.routed_request(req)
-        request.withheld_targets = max_targets_of_sender(
-            request.route, request.route.max_attempts
-        )
+        left = request.route.max_attempts
+        request.max_targets = left - max_targets_of_sender(request.route, left)
         req.on_disconnect = lambda: self.cancelled_requests.append(req)
         self.served.append(ServedQuery(req, on_result, request))
         return request
--- a/test/coordination/test_forward.py
+++ b/test/coordination/test_forward.py
@@ -5,7 +5,7 @@
 import pytest
 
 from filbertshelf.state.routing import Repeat
-from filbertshelf.transport.http1.client import ExchangeEnd
+from filbertshelf.transport.http1.exchange import ExchangeEnd
 from test.coordination.simulated_gateway import Simulation, single_route
 
 ONCE = single_route("desk", Repeat.ONCE)
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -421,7 +421,7 @@
     first, second = deployment.gateways
     await wait_until(lambda: first.membership.member_count() == 2)
     for deaths in (1, 2, 3):
-        first._on_request_crash("fingerprint", "r1", deaths)
+        first.fleet_notices.announce_crash("fingerprint", "r1", deaths)
     await wait_until(lambda: second.crashes.is_quarantined("fingerprint"))
 
 
--- a/test/transport/test_endless_responses.py
+++ b/test/transport/test_endless_responses.py
@@ -14,12 +14,8 @@
 from filbertshelf.clock import SystemClock
 from filbertshelf.errors import FetchError, PeerUnreachableError
 from filbertshelf.transport.http1 import message_bounds
-from filbertshelf.transport.http1.client import (
-    ConnectionPool,
-    Exchange,
-    ExchangeEnd,
-    HttpConnection,
-)
+from filbertshelf.transport.http1.connection import HttpConnection
+from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
 from filbertshelf.transport.http1.fetch import Fetcher
 from filbertshelf.transport.http1.message_bounds import (
     MAX_FIELDS,
@@ -28,6 +24,7 @@
     HeldBytes,
     ResponseMeter,
 )
+from filbertshelf.transport.http1.pool import ConnectionPool
 from filbertshelf.transport.target_link import TargetLink
 from test.transport.endless import ENDLESS, WRITE_BYTES, EndlessServer
 from test.transport.serving import serving
--- a/test/transport/test_http_client.py
+++ b/test/transport/test_http_pool.py
@@ -10,7 +10,8 @@
 import pytest
 
 from filbertshelf.clock import SystemClock
-from filbertshelf.transport.http1.client import ConnectionPool, Exchange, ExchangeEnd
+from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
+from filbertshelf.transport.http1.pool import ConnectionPool
 from test.transport.serving import serving
 
 HEAD = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
