--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -77,8 +77,7 @@
         self._ended = False
         self._moved = False
         self._failed_result: RoutedResult | None = None
-        """The result of a request that failed here and waits for the check of the link.
-        """
+        """The result of a failed request that waits for the check of the link."""
         self._stopping = False
         self._may_have_run = False
         """Whether targets that this request has left behind may have run it."""
--- a/filbertshelf/coordination/target_entries.py
+++ b/filbertshelf/coordination/target_entries.py
@@ -65,6 +65,8 @@
     """When the target last responded, in monotonic seconds."""
     withholding: Withholding | None = None
     """What keeps new requests away, None for most targets."""
+    withheld_logged_at: float = float("-inf")
+    """When its withholding was last logged, in monotonic seconds."""
     header_logged_at: float = float("-inf")
     """When a malformed header of the target was last logged, in monotonic seconds."""
 
--- a/filbertshelf/coordination/target_statements.py
+++ b/filbertshelf/coordination/target_statements.py
@@ -33,6 +33,9 @@
 MAX_LEAVING = 4_096
 """Targets that are remembered as leaving; the oldest are forgotten."""
 
+WITHHELD_LINE_INTERVAL_S = 1.0
+"""The shortest interval between two log lines about repeated pauses of a target."""
+
 HEADER_LINE_INTERVAL_S = 10.0
 """The shortest interval between two log lines about malformed headers of a target."""
 
@@ -124,14 +127,17 @@
         if not withholding.outlasts(before):
             return
         entry.withholding = withholding
-        if before is None or before.cause is not withholding.cause:
+        now = self._clock.monotonic()
+        is_news = before is None or before.cause is not withholding.cause
+        if is_news or now - entry.withheld_logged_at >= WITHHELD_LINE_INTERVAL_S:
+            entry.withheld_logged_at = now
             events.emit(
                 events.TARGET_WITHHELD,
                 target=entry.id,
                 service=entry.listed.service,
                 cause=withholding.cause.value,
                 source=withholding.source,
-                seconds=_seconds_left(withholding, self._clock.monotonic()),
+                seconds=_seconds_left(withholding, now),
             )
         entry.pool.end_waiting()
 
