Refuse peer messages with numbers that can't be shown or held

Cause: the error for an envelope whose kind is an integer of thousands of digits raised another error while it was made, and the rows of targets in an update weren't checked at all.

--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -12,6 +12,7 @@
 
 from filbertshelf.addresses import Address, parse_address
 from filbertshelf.errors import MessageError
+from filbertshelf.json_values import is_integer
 from filbertshelf.protocol.messages import message
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
@@ -186,7 +187,15 @@
     draining: bool = False,
     started_ms: int = 0,
 ) -> TargetChange:
-    """Return the change in a row; a row without a service is a removed target."""
+    """Return the change in a row; a row without a service is a removed target.
+
+    Raises `TypeError` or `ValueError` if a value is malformed.
+    """
+    texts = (id_, service, address, data_centre)
+    if not all(isinstance(text, str) for text in texts):
+        raise TypeError("a text of the row has another type")
+    if not all(is_integer(number) for number in (revision, slots, started_ms)):
+        raise TypeError("a number of the row is out of range")
     if not service:
         return TargetChange(id_, revision, None)
     target = ListedTarget(
--- a/filbertshelf/protocol/messages.py
+++ b/filbertshelf/protocol/messages.py
@@ -11,6 +11,7 @@
 from cattrs.preconf.cbor2 import make_converter
 
 from filbertshelf.errors import MessageError
+from filbertshelf.json_values import shown
 
 # Versions of the peer protocol that this build speaks, the preferred one first.
 VERSIONS: tuple[int, ...] = (1,)
@@ -64,7 +65,7 @@
 
     def check(value: Any, _: Any) -> Any:
         if type(value) is not expected:
-            raise TypeError(f"{value!r:.80} is not of type {expected.__name__}")
+            raise TypeError(f"{shown(value)} is not of type {expected.__name__}")
         return value
 
     return check
@@ -72,7 +73,7 @@
 
 def _float_hook(value: Any, _: Any) -> float:
     if type(value) not in (int, float):
-        raise TypeError(f"{value!r:.80} is not a number")
+        raise TypeError(f"{shown(value)} is not a number")
     return float(value)
 
 
@@ -150,7 +151,7 @@
         raise MessageError("the frame is not an envelope")
     kind, correlation, name, body = parts[:_ENVELOPE_PARTS]
     if type(kind) is not int or kind not in list(Kind):
-        raise MessageError(f"{kind!r:.80} is not a kind of message")
+        raise MessageError(f"{shown(kind)} is not a kind of message")
     if type(correlation) is not int or type(name) is not str:
         raise MessageError("the correlation id or the name has a wrong type")
     return Kind(kind), correlation, name, body
--- a/test/protocol/test_feed.py
+++ b/test/protocol/test_feed.py
@@ -92,7 +92,18 @@
 
 @pytest.mark.parametrize(
     "rows",
-    [7, [7], [[]], [["i-1"]], [["i-1", 5, "s", "nowhere", "z", 2, False, 0]]],
+    [
+        7,
+        [7],
+        [[]],
+        [["i-1"]],
+        [["i-1", 5, "s", "nowhere", "z", 2, False, 0]],
+        [[7, 5, "s", "10.0.0.1:1", "z", 2, False, 0]],
+        [["i-1", 10**400, "s", "10.0.0.1:1", "z", 2, False, 0]],
+        [["i-1", 5, "s", "10.0.0.1:1", "z", -2, False, 0]],
+        [["i-1", 5, "s", "10.0.0.1:1", "z", 2, False, "now"]],
+    ],
+    ids=lambda rows: str(rows)[:40],
 )
 def test_malformed_rows_are_refused(rows):
     # Guards against an unexpected exception that ends the task that polls peers.
--- a/test/protocol/test_messages.py
+++ b/test/protocol/test_messages.py
@@ -75,3 +75,29 @@
 def test_registering_a_name_twice_is_refused():
     with pytest.raises(ValueError, match="twice"):
         message("test-leaf")(Leaf)
+
+
+def nested(depth: int) -> list:
+    """Return lists in lists."""
+    value: list = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+HOSTILE_VALUES = [10**5000, -(10**5000), nested(300), float("nan"), "half", None]
+
+
+@pytest.mark.parametrize("part", range(4))
+@pytest.mark.parametrize(
+    "value", HOSTILE_VALUES, ids=lambda value: f"{type(value).__name__}"
+)
+def test_a_hostile_part_of_an_envelope_raises_message_error(part, value):
+    # Guards against an integer that can't be shown as text, which raised another error
+    # while the message of the typed one was made.
+    parts = [2, 7, "notice", {}]
+    parts[part] = value
+    try:
+        decode(cbor2.dumps(parts))
+    except MessageError:
+        return
