--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -125,21 +125,31 @@
         self._start_next()
 
     def _parse(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as exc:
-            if self._offers_upgrade:
-                # The parser ends the message at its head. Without the offer it reads
-                # the body and what follows.
-                rest = data[exc.args[0] :]
-                head = self._head_without_offer()
-                self._parser = httptools.HttpRequestParser(self)
-                self._parse(head + rest)
-            else:
-                # Bytes after CONNECT are for another server.
-                self._disable_keep_alive()
-        except httptools.HttpParserError as exc:
-            self._refuse(400, str(exc) or "the request is malformed")
+        rest = memoryview(data)
+        while rest:
+            try:
+                self._parser.feed_data(rest)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                if not self._offers_upgrade:
+                    # Bytes after CONNECT are for another server.
+                    self._disable_keep_alive()
+                    return
+                rest = rest[exc.args[0] :]
+                self._parse_without_offer()
+            except httptools.HttpParserError as exc:
+                self._refuse(400, str(exc) or "the request is malformed")
+                return
+
+    def _parse_without_offer(self) -> None:
+        """Let a new parser read the head again without the offer of a protocol.
+
+        The parser ends a message with an offer at its head; the new one reads the body
+        and what follows.
+        """
+        head = self._head_without_offer()
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
 
     @property
     def _offers_upgrade(self) -> bool:
--- a/test/transport/test_http_server.py
+++ b/test/transport/test_http_server.py
@@ -284,6 +284,16 @@
     assert [req.method for req in app.seen] == [b"POST", b"GET", b"GET"]
 
 
+async def test_thousands_of_offers_in_one_write_are_ignored(server, app):
+    # Guards against a call stack that grows with each pipelined offer: a caller could
+    # end its connection and fill the log with one write.
+    count = 3_000
+    offer = b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+    last = GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    data = await send_and_read(server, offer * count + last)
+    assert statuses(data) == [200] * (count + 1)
+
+
 async def test_an_offer_beside_expect_gets_one_interim_response(server):
     head = b"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n" + OFFERS["h2c"]
     last = b"Content-Length: 2\r\n\r\n"
