Give connections back at the deadline when the caller has left

What was seen: in the review about 30 connections of one gateway stayed open at three targets that answered nothing, over its quota of 4 at each, for 15 s after the callers had left.

Cause: a request that must run only once was left to finish without a limit when its caller left; the cancel at the deadline was set only for a request that ends.

Evidence: the case of test_forward for such a request failed before (the exchange still ran half a second after its deadline) and passes.

--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -58,12 +58,14 @@
         """Stop the request.
 
         Exchanges of an idempotent request are cancelled after the cleanup delay; one
-        that must run only once is left to finish.
+        that must run only once is left to finish until its deadline.
         """
         self._stop()
         self._call.stop()
         if self._request.route.repeat is Repeat.IDEMPOTENT:
             self._context.call_later(CLEANUP_DELAY_S, self._call.cancel)
+        else:
+            self._cancel_after_deadline()
 
     def on_stop(self) -> None:
         """Refuse the request, because this instance stops."""
@@ -142,9 +144,7 @@
             return
         self._stop()
         call = self._call
-        if call.running:
-            left = max(0.0, self._request.deadline - self._context.clock.monotonic())
-            self._context.call_later(left + CLEANUP_DELAY_S, call.cancel)
+        self._cancel_after_deadline()
         missing = () if call.answer else (f"{call.service}: {call.reason.value}",)
         extra = max(0, call.sub_requests - 1)
         self._on_result(
@@ -158,6 +158,12 @@
             )
         )
 
+    def _cancel_after_deadline(self) -> None:
+        """Give connections back on which no answer has come by then."""
+        if self._call.running:
+            left = max(0.0, self._request.deadline - self._context.clock.monotonic())
+            self._context.call_later(left + CLEANUP_DELAY_S, self._call.cancel)
+
     def _stop(self) -> None:
         self._ended = True
         for timer in (self._hedge_timer, self._deadline_timer):
--- a/test/coordination/test_forward.py
+++ b/test/coordination/test_forward.py
@@ -120,6 +120,21 @@
     assert len(asked) <= IDEMPOTENT.max_attempts
 
 
+@pytest.mark.parametrize("route", [ONCE, IDEMPOTENT])
+def test_a_request_whose_caller_left_holds_its_connection_no_longer_than_allowed(route):
+    # Guards against connections to silent targets that are never given back: those of
+    # requests that must run only once stayed open after their callers had left.
+    simulation = simulation_with("silent")
+    call = simulation.send_request(route, 2.0)
+    simulation.time.run_until(0.1)
+    call.runner.on_disconnect()
+    simulation.time.run_until(1.9)
+    running = simulation.targets._entries["t1"].running
+    assert len(running) == (1 if route is ONCE else 0)
+    simulation.time.run_until(2.5)
+    assert not running
+
+
 @pytest.mark.parametrize("route", [ONCE, IDEMPOTENT])
 def test_a_request_that_only_waited_for_a_connection_is_refused_as_not_run(route):
     # Guards against a 504 for a request that was never written, and against a target
