Read response heads through one object in place of three callables

An exchange names a reader, its `ShardCall`, which tells whether a response is its own and reads what a target says of itself; the headers are converted to lower case once. Behaviour is unchanged.

--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -13,13 +13,16 @@
     Timer,
 )
 from filbertshelf.coordination.target_entries import TargetEntry
-from filbertshelf.protocol.http_messages import HeaderField
 from filbertshelf.protocol.target_responses import Classification
 from filbertshelf.state.hedging import is_worthwhile
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.routing import Repeat
 from filbertshelf.transport.http1.connection import HttpConnection
-from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
+from filbertshelf.transport.http1.exchange import (
+    Exchange,
+    ExchangeEnd,
+    HeaderValues,
+)
 
 MAX_SUB_REQUESTS = 4
 """Maximum number of sub-requests for one shard of a request, hedges included."""
@@ -77,6 +80,7 @@
         self._request = request
         self._listener = listener
         self._repeatable = request.route.repeat is Repeat.IDEMPOTENT
+        self.watched_fields = context.classifier.statement_fields
         self._tried: set[str] = set()
         self._sent_to: set[str] = set()
         self._used_connections: frozenset[HttpConnection] = frozenset()
@@ -250,24 +254,25 @@
             functools.partial(self._on_exchange_end, entry),
             without_body=request.http_request.method == b"HEAD",
             max_body_bytes=request.max_response_bytes,
-            is_own_response=self._is_own_response,
+            reader=self,
             avoid=self._used_connections,
-            watched_fields=self._context.classifier.statement_fields,
-            on_watched_head=functools.partial(self._on_statement, entry),
         )
         self._running[exchange] = entry
         self._context.targets.send(entry, exchange, now, is_extra)
 
-    def _is_own_response(self, fields: list[HeaderField]) -> bool:
-        return self._context.classifier.may_answer(fields, self._request.id)
+    # Reading the heads of responses.
 
-    def _on_statement(
-        self, entry: TargetEntry, status: int, fields: list[HeaderField]
-    ) -> None:
+    def is_own_response(self, values: HeaderValues) -> bool:
+        """Return whether a response may be to the request."""
+        return self._context.classifier.may_answer(values, self._request.id)
+
+    def on_watched_head(self, exchange: Exchange, values: HeaderValues) -> None:
         """Record what a target says of itself, whatever becomes of its response."""
-        statement = self._context.classifier.read_statement(status, fields)
-        now = self._context.clock.monotonic()
-        self._context.targets.statements.record(entry, statement, now)
+        entry = self._running.get(exchange)
+        if entry is not None:
+            statement = self._context.classifier.read_statement(exchange.status, values)
+            now = self._context.clock.monotonic()
+            self._context.targets.statements.record(entry, statement, now)
 
     def _make_head(self, target_id: str) -> bytes:
         now = self._context.clock.monotonic()
--- a/filbertshelf/protocol/target_responses.py
+++ b/filbertshelf/protocol/target_responses.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 
 import attrs
 
 from filbertshelf.errors import MessageError
-from filbertshelf.protocol.http_messages import HeaderField, Response, find_field
+from filbertshelf.protocol.http_messages import HeaderField, Response
 from filbertshelf.state.outcome import Reason, Result
 
 _CONTENT_ENCODING = b"content-encoding"
@@ -112,18 +113,20 @@
         self.statement_fields = frozenset((self._leaving, self._retry_after))
         """The lower-case names of the headers in which targets speak of themselves."""
 
-    def read_statement(self, status: int, fields: list[HeaderField]) -> TargetStatement:
+    def read_statement(
+        self, status: int, values: Mapping[bytes, bytes]
+    ) -> TargetStatement:
         """Return what a target says of itself in the head of any response.
 
-        A response that another target sent, to whose address the request went, says
-        nothing of the expected one.
+        `values` has the headers by their names in lower case. A response of another
+        target, to whose address the request went, says nothing of the expected one.
         """
         if status == _OTHER_TARGET_STATUS:
             return TargetStatement()
-        leaving = find_field(fields, self._leaving)
+        leaving = values.get(self._leaving)
         retry_after = None
         if status in _REFUSED_STATUSES:
-            retry_after = find_field(fields, self._retry_after)
+            retry_after = values.get(self._retry_after)
         return TargetStatement(leaving, retry_after)
 
     def classify(
@@ -155,15 +158,12 @@
             Result.UNKNOWN, Reason.TARGET_ERROR, stamp, rate_limit=rate_limit
         )
 
-    def may_answer(self, fields: list[HeaderField], request_id: bytes) -> bool:
-        """Return whether a response with these fields may be to the request.
+    def may_answer(self, values: Mapping[bytes, bytes], request_id: bytes) -> bool:
+        """Return whether a response with these headers may be to the request.
 
-        One that names no request may be.
+        One that names no request may be. The names in `values` are in lower case.
         """
-        for name, value in fields:
-            if name.lower() == self._request_id:
-                return value == request_id
-        return True
+        return values.get(self._request_id, request_id) == request_id
 
     def _parse_fields(
         self, fields: list[HeaderField], request_id: bytes
--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -8,7 +8,11 @@
 import httptools
 
 from filbertshelf.protocol.http_messages import HeaderField
-from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
+from filbertshelf.transport.http1.exchange import (
+    Exchange,
+    ExchangeEnd,
+    HeaderValues,
+)
 from filbertshelf.transport.http1.message_bounds import HeldBytes, ResponseMeter
 from filbertshelf.transport.http1.sockets import set_tcp_options
 
@@ -43,6 +47,7 @@
         # One buffer, because a part of a few bytes would cost ten times its length.
         self._body = bytearray()
         self._meter = ResponseMeter()
+        self._values: HeaderValues = {}
         self._complete = False
         self._body_ends_with_connection = False
         self._reusable = True
@@ -123,10 +128,11 @@
         exchange = self.exchange
         exchange.status = self._parser.get_status_code()
         self._meter.end_head()
-        field_names = {name.lower() for name, _value in exchange.fields}
-        if not exchange.watched_fields.isdisjoint(field_names):
-            exchange.on_watched_head(exchange.status, exchange.fields)
-        framed = b"content-length" in field_names or b"transfer-encoding" in field_names
+        values = self._values = {name.lower(): val for name, val in exchange.fields}
+        reader = exchange.reader
+        if reader is not None and not reader.watched_fields.isdisjoint(values):
+            reader.on_watched_head(exchange, values)
+        framed = b"content-length" in values or b"transfer-encoding" in values
         empty = exchange.status in (204, 304) or exchange.status < 200
         if exchange.without_body:
             # The parser doesn't know that there is no body and would wait for it.
@@ -153,8 +159,8 @@
             self._meter.end_interim_response()
             self._expect_next_response()
             return
-        is_own = exchange.is_own_response
-        if is_own is not None and not is_own(exchange.fields):
+        reader = exchange.reader
+        if reader is not None and not reader.is_own_response(self._values):
             exchange.dropped_responses += 1
             self._meter.end_other_response()
             self._drop_body()
--- a/filbertshelf/transport/http1/exchange.py
+++ b/filbertshelf/transport/http1/exchange.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -26,6 +26,26 @@
     CANCELLED = "cancelled"
 
 
+HeaderValues = Mapping[bytes, bytes]
+"""The headers of a response by their names in lower case."""
+
+
+class ResponseReader(Protocol):
+    """Reads the heads of the responses that come to an exchange."""
+
+    watched_fields: frozenset[bytes]
+    """The lower-case names of the headers for which `on_watched_head` is called."""
+
+    def is_own_response(self, values: HeaderValues) -> bool:
+        """Return whether a response may be to the request of the exchange."""
+
+    def on_watched_head(self, exchange: Exchange, values: HeaderValues) -> None:
+        """Read the head of a response, an interim or a dropped one too.
+
+        It is called as soon as the head is complete; `exchange.status` is its status.
+        """
+
+
 @attrs.define(eq=False, slots=True)
 class Exchange:
     """One request and its response; `on_end` is called exactly once.
@@ -36,14 +56,10 @@
     no body, as after HEAD. A response with a longer body than `max_body_bytes` is
     malformed; `exceeded` then names the bound, and `cut_bytes` is the length so far.
 
-    A server may send copies of earlier responses late. `is_own_response` tells by the
-    headers whether a response may be to this request; others are dropped and counted in
+    A server may send copies of earlier responses late. `reader` tells by the headers
+    whether a response may be to this request; others are dropped and counted in
     `dropped_responses`. `avoid` has the connections that have carried the same request
     before, on which it couldn't tell.
-
-    `on_watched_head` is called with the status and the headers of each response that
-    has a header of `watched_fields` (lower-case names), as soon as its head is
-    complete; interim and dropped responses count too.
     """
 
     make_head: Callable[[], bytes]
@@ -51,10 +67,8 @@
     on_end: Callable[[Exchange], None]
     without_body: bool = False
     max_body_bytes: int = MAX_BODY_BYTES
-    is_own_response: Callable[[list[HeaderField]], bool] | None = None
+    reader: ResponseReader | None = None
     avoid: frozenset[HttpConnection] = frozenset()
-    watched_fields: frozenset[bytes] = frozenset()
-    on_watched_head: Callable[[int, list[HeaderField]], None] | None = None
     written: bool = False
     end: ExchangeEnd | None = None
     status: int = 0
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -211,9 +211,10 @@
 
         def respond() -> None:
             # A gateway reads the head of a late response too.
-            names = {name.lower() for name, _ in fields}
-            if not exchange.watched_fields.isdisjoint(names):
-                exchange.on_watched_head(status, fields)
+            exchange.status = status
+            values = {name.lower(): value for name, value in fields}
+            if not exchange.reader.watched_fields.isdisjoint(values):
+                exchange.reader.on_watched_head(exchange, values)
             if exchange.end is None:
                 exchange.status = status
                 exchange.fields = fields
--- a/test/coordination/test_withheld_targets.py
+++ b/test/coordination/test_withheld_targets.py
@@ -132,8 +132,9 @@
         hear_leaving(simulation, leaf.id)
     else:
         exchange = leaf.queued[0]
-        fields = {"response": [(b"Leaving", b"1")], "pause": [(b"Retry-After", b"3")]}
-        exchange.on_watched_head(503, fields[source])
+        exchange.status = 503
+        heads = {"response": {b"leaving": b"1"}, "pause": {b"retry-after": b"3"}}
+        exchange.reader.on_watched_head(exchange, heads[source])
     assert all(exchange.end for exchange in leaf.queued)
     simulation.time.run_until(0.2)
     assert [call.status for call in calls] == [200] * len(calls)
@@ -240,7 +241,7 @@
     for leaf in list(simulation.leafs.values())[:2]:
         simulation.targets.statements.record(
             simulation.targets._entries[leaf.id],
-            simulation.context.classifier.read_statement(503, [(b"Retry-After", b"9")]),
+            simulation.context.classifier.read_statement(503, {b"retry-after": b"9"}),
             0.0,
         )
     call = simulation.send_request(route)
@@ -249,7 +250,7 @@
     for leaf in simulation.leafs.values():
         simulation.targets.statements.record(
             simulation.targets._entries[leaf.id],
-            simulation.context.classifier.read_statement(503, [(b"Retry-After", b"9")]),
+            simulation.context.classifier.read_statement(503, {b"retry-after": b"9"}),
             0.5,
         )
     refused = simulation.send_request(route)
--- a/test/transport/test_http_pool.py
+++ b/test/transport/test_http_pool.py
@@ -303,9 +303,22 @@
     assert not second.written
 
 
-def names_response(number: int):
-    """Return the check that a response names the number."""
-    return lambda fields: (b"Id", b"%d" % number) in fields
+class NumberedReader:
+    """Takes responses that name a number."""
+
+    watched_fields = frozenset((b"id",))
+
+    def __init__(self, number: int):
+        self.number = b"%d" % number
+        self.heads = []
+
+    def is_own_response(self, values):
+        """Return whether a response names the number."""
+        return values.get(b"id") == self.number
+
+    def on_watched_head(self, exchange, values):
+        """Record the head."""
+        self.heads.append((exchange.status, values[b"id"]))
 
 
 @pytest.mark.parametrize("copies", [1, 3])
@@ -316,7 +329,7 @@
     pool = await pool_of(server)
     bodies = []
     for number in (1, 2, 3):
-        exchange = await run(pool, is_own_response=names_response(number))
+        exchange = await run(pool, reader=NumberedReader(number))
         assert exchange.fields[-1] == (b"Id", b"%d" % number)
         bodies.append(exchange.response_body)
     assert bodies == [b"ok"] * 3
@@ -325,7 +338,7 @@
 
 async def test_endless_responses_to_other_requests_end_as_malformed(pool_of):
     pool = await pool_of(Server(ONE % 1 * 100))
-    exchange = await run(pool, is_own_response=names_response(2))
+    exchange = await run(pool, reader=NumberedReader(2))
     assert exchange.end is ExchangeEnd.MALFORMED
     assert exchange.exceeded == "other responses"
 
@@ -333,5 +346,17 @@
 async def test_long_responses_to_other_requests_are_no_overhead(pool_of):
     long = b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90_000
     pool = await pool_of(Server(long * 3 + ONE % 2))
-    exchange = await run(pool, is_own_response=names_response(2))
+    exchange = await run(pool, reader=NumberedReader(2))
     assert (exchange.end, exchange.response_body) == (ExchangeEnd.RESPONDED, b"ok")
+
+
+async def test_the_head_of_every_response_is_read(pool_of):
+    # Guards against a target's word that it leaves which is lost because its response
+    # is an interim one, belongs to another request or is cut.
+    interim = b"HTTP/1.1 103 Early Hints\r\nId: 2\r\n\r\n"
+    cut = b"HTTP/1.1 500 Error\r\nContent-Length: 9\r\nId: 2\r\n\r\ncut"
+    pool = await pool_of(Server(ONE % 1 + interim + cut, close=True))
+    reader = NumberedReader(2)
+    exchange = await run(pool, reader=reader)
+    assert exchange.end is ExchangeEnd.LOST
+    assert reader.heads == [(200, b"1"), (103, b"2"), (500, b"2")]
