Simplify the log lines of a shard call and the search for an idle connection

Four events of a shard call were each guarded by the request's log limit in the same way; one method serves them now. Two test modules started the same fleet.

Behaviour and assertions are unchanged.

--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -17,9 +17,7 @@
 )
 from filbertshelf.coordination.target_statements import TargetStatements
 from filbertshelf.gateway_settings import Address, GatewaySettings
-from filbertshelf.protocol.target_responses import (
-    Classification,
-)
+from filbertshelf.protocol.target_responses import Classification
 from filbertshelf.state.directory import ListedTarget, TargetChange
 from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import UNKNOWN_FLEET_SIZE
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -141,16 +141,14 @@
             decision = "sent"
         else:
             decision = "withheld: no other target is available"
-        if self._request.log_limit.allows(now):
-            events.emit(
-                events.HEDGE_DECIDED,
-                request_id=self._request.text_id,
-                service=self.service,
-                target=entry.id,
-                waited_ms=round(waited_s * 1000, 1),
-                budget_left=round(budget_left, 1),
-                decision=decision,
-            )
+        self._log(
+            events.HEDGE_DECIDED,
+            entry,
+            now,
+            waited_ms=round(waited_s * 1000, 1),
+            budget_left=round(budget_left, 1),
+            decision=decision,
+        )
         return decision == "sent"
 
     def _may_hedge_help(self, waited_s: float, now: float) -> bool:
@@ -294,9 +292,16 @@
             # than a new connection for each repeat at a full target.
             self._used_connections |= {exchange.connection}
         if exchange.dropped_responses:
-            self._log_dropped(entry, exchange, now)
+            count = exchange.dropped_responses
+            self._log(events.OTHER_RESPONSE_DROPPED, entry, now, count=count)
         if exchange.exceeded:
-            self._log_cut(entry, exchange, now)
+            self._log(
+                events.RESPONSE_CUT,
+                entry,
+                now,
+                bound=exchange.exceeded,
+                body_bytes=exchange.cut_bytes,
+            )
         if classification.result is Result.ANSWERED:
             self._context.hedge_delay(self._request.route).record(
                 now - exchange.started_at
@@ -338,16 +343,14 @@
             self.may_have_run = True
         if classification.stamp:
             self.failure = exchange
-        if self._request.log_limit.allows(now):
-            events.emit(
-                events.ATTEMPT_FAILED,
-                request_id=self._request.text_id,
-                service=self.service,
-                shard=self.service,
-                target=entry.id,
-                result=classification.result.value,
-                reason=classification.reason.value,
-            )
+        self._log(
+            events.ATTEMPT_FAILED,
+            entry,
+            now,
+            shard=self.service,
+            result=classification.result.value,
+            reason=classification.reason.value,
+        )
         if classification.reason is Reason.CONNECTION_LOST:
             entry.pool.check_alive(self._on_target_death)
         if self._running:
@@ -419,27 +422,17 @@
         if not self._try_send(now, is_extra=True):
             self._fail()
 
-    def _log_dropped(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
-        """Log that the target sent responses to other requests in place of the due."""
-        if self._request.log_limit.allows(now):
-            events.emit(
-                events.OTHER_RESPONSE_DROPPED,
-                request_id=self._request.text_id,
-                service=self.service,
-                target=entry.id,
-                count=exchange.dropped_responses,
-            )
-
-    def _log_cut(self, entry: TargetEntry, exchange: Exchange, now: float) -> None:
-        """Log which bound a response exceeded."""
+    def _log(
+        self, event: events.Event, entry: TargetEntry, now: float, **fields: object
+    ) -> None:
+        """Log an event of the request at a target, if it has log lines left."""
         if self._request.log_limit.allows(now):
             events.emit(
-                events.RESPONSE_CUT,
+                event,
                 request_id=self._request.text_id,
                 service=self.service,
                 target=entry.id,
-                bound=exchange.exceeded,
-                body_bytes=exchange.cut_bytes,
+                **fields,
             )
 
     def _on_target_death(self) -> None:
--- a/filbertshelf/coordination/target_statements.py
+++ b/filbertshelf/coordination/target_statements.py
@@ -182,7 +182,7 @@
                 events.emit(events.RATE_LIMIT_IGNORED, target=entry.id, reason=str(exc))
             return
         ended = limit_per_s is None and entry.rate.limit_per_s is not None
-        self._set_rate_limit(entry, limit_per_s, "response", now)
+        self._set_rate_limit(entry, limit_per_s, RESPONSE, now)
         if ended:
             self._on_limit_ended(entry.id)
 
--- a/filbertshelf/transport/http1/pool.py
+++ b/filbertshelf/transport/http1/pool.py
@@ -156,19 +156,14 @@
         Those to avoid stay idle.
         """
         max_idle_s = self._idle_limit.limit_s(now)
-        kept = [conn for conn in self._idle if conn in avoid] if avoid else []
-        found = None
-        while self._idle and found is None:
-            conn = self._idle.pop()
-            if conn in kept:
+        for conn in self._idle[::-1]:
+            if conn in avoid:
                 continue
+            self._idle.remove(conn)
             if conn.is_usable(now) and now - conn.idle_since <= max_idle_s:
-                found = conn
-            else:
-                conn.close()
-        if kept:
-            self._idle += [conn for conn in kept if conn not in self._idle]
-        return found
+                return conn
+            conn.close()
+        return None
 
     def _pop_waiting(self, conn: HttpConnection) -> Exchange | None:
         """Return the first queued exchange that may use the connection."""
--- a/test/coordination/peer_fleet.py
+++ b/test/coordination/peer_fleet.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
+from collections.abc import AsyncIterator
 
 import attrs
 
@@ -182,3 +184,12 @@
             arrived = leaf.request_ids.count(call.id)
             counts[leaf.service] = counts.get(leaf.service, 0) + arrived
         return counts
+
+
+@contextlib.asynccontextmanager
+async def serving_fleet(size: int) -> AsyncIterator[PeerFleet]:
+    """Start a fleet whose gateways have served some queries."""
+    async with PeerFleet(size) as fleet:
+        for gateway in fleet.gateways:
+            await fleet.send_load(gateway, fleet.query, 20, 0.5)
+        yield fleet
--- a/test/coordination/test_cut_off.py
+++ b/test/coordination/test_cut_off.py
@@ -7,7 +7,7 @@
 import pytest
 
 from filbertshelf.state.delegation import Delegates
-from test.coordination.peer_fleet import PeerFleet
+from test.coordination.peer_fleet import serving_fleet
 from test.coordination.simulated_gateway import Link
 
 LINKS = [Link.SILENT, Link.RESET, Link.REFUSED]
@@ -22,9 +22,7 @@
 @pytest.fixture
 async def fleet():
     """Return a fleet of five gateways that have served some requests."""
-    async with PeerFleet(5) as started_fleet:
-        for gateway in started_fleet.gateways:
-            await started_fleet.send_load(gateway, started_fleet.query, 20, 0.5)
+    async with serving_fleet(5) as started_fleet:
         yield started_fleet
 
 
--- a/test/coordination/test_stop.py
+++ b/test/coordination/test_stop.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from test.coordination.peer_fleet import PeerFleet
+from test.coordination.peer_fleet import serving_fleet
 from test.coordination.simulated_gateway import Link
 
 CLOSED_AFTER_S = [0.0, 0.004, 0.03, 0.15, 0.4]
@@ -13,9 +13,7 @@
 @pytest.fixture
 async def fleet():
     """Return a fleet of five gateways that have served some requests."""
-    async with PeerFleet(5) as started_fleet:
-        for gateway in started_fleet.gateways:
-            await started_fleet.send_load(gateway, started_fleet.query, 20, 0.5)
+    async with serving_fleet(5) as started_fleet:
         yield started_fleet
 
 
