Send requests that must run once only over connections that were used recently

Cause: a target that has gone dark, or that dropped idle connections, is noticed only after the request is written.

Change: such a request doesn't use a connection that has been idle for over 0.25 s. Waiting requests that can use no open connection end when none can be opened.

--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import Protocol
 
 from filbertshelf import events
@@ -36,6 +37,11 @@
 HONOURED_SHARE = 1 / 3
 """The share of their remaining time that callers wait before they come back."""
 
+MAX_IDLE_BEFORE_ONCE_S = 0.25
+"""How long a connection may have been idle before it carries a request that must run
+only once. If its other end is gone, such a request ends without an answer; a new
+connection shows that before the request is written."""
+
 CLEANUP_DELAY_S = 0.25
 """How long exchanges of a finished request may continue before their connections are
 closed; closing them earlier would cost new connections."""
@@ -254,6 +260,7 @@
             max_body_bytes=request.max_response_bytes,
             reader=self,
             avoid=self._used_connections,
+            max_idle_s=math.inf if self._repeatable else MAX_IDLE_BEFORE_ONCE_S,
         )
         self._running[exchange] = entry
         self._context.targets.send(entry, exchange, now, is_extra)
--- a/filbertshelf/transport/http1/exchange.py
+++ b/filbertshelf/transport/http1/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Protocol
 
@@ -59,7 +60,8 @@
     A server may send copies of earlier responses late. `reader` tells by the headers
     whether a response may be to this request; others are dropped and counted in
     `dropped_responses`. `avoid` has the connections that have carried the same request
-    before, on which it couldn't tell.
+    before, on which it couldn't tell. A connection that has been idle for longer than
+    `max_idle_s` seconds is not used either, because its other end may be gone.
     """
 
     make_head: Callable[[], bytes]
@@ -69,6 +71,7 @@
     max_body_bytes: int = MAX_BODY_BYTES
     reader: ResponseReader | None = None
     avoid: frozenset[HttpConnection] = frozenset()
+    max_idle_s: float = math.inf
     written: bool = False
     end: ExchangeEnd | None = None
     status: int = 0
--- a/filbertshelf/transport/http1/pool.py
+++ b/filbertshelf/transport/http1/pool.py
@@ -60,7 +60,7 @@
         if self._closed:
             exchange.finish(ExchangeEnd.NOT_SENT)
             return
-        conn = self._pop_idle(now, exchange.avoid)
+        conn = self._pop_idle(now, exchange)
         if conn is not None:
             conn.send(exchange, now)
             return
@@ -148,16 +148,14 @@
         if self._waiting and not self._connecting and self.size < self.quota:
             self._connect()
 
-    def _pop_idle(
-        self, now: float, avoid: frozenset[HttpConnection]
-    ) -> HttpConnection | None:
+    def _pop_idle(self, now: float, exchange: Exchange) -> HttpConnection | None:
         """Return the usable connection that was used last; close unusable ones.
 
-        Those to avoid stay idle.
+        Those that only this exchange can't use stay idle.
         """
         max_idle_s = self._idle_limit.limit_s(now)
         for conn in self._idle[::-1]:
-            if conn in avoid:
+            if not self._may_use(exchange, conn, now):
                 continue
             self._idle.remove(conn)
             if conn.is_usable(now) and now - conn.idle_since <= max_idle_s:
@@ -165,6 +163,12 @@
             conn.close()
         return None
 
+    def _may_use(self, exchange: Exchange, conn: HttpConnection, now: float) -> bool:
+        """Return whether an exchange may use a connection, now or once released."""
+        if conn in exchange.avoid:
+            return False
+        return conn not in self._idle or now - conn.idle_since <= exchange.max_idle_s
+
     def _pop_waiting(self, conn: HttpConnection) -> Exchange | None:
         """Return the first queued exchange that may use the connection."""
         for exchange in self._waiting:
@@ -211,7 +215,12 @@
     def _connect_failed(self) -> None:
         """Fail the queued exchanges that no open connection can run."""
         self._report_connect(False)
-        failed = [x for x in self._waiting if x.avoid.issuperset(self._open)]
+        now = self._clock.monotonic()
+        failed = [
+            exchange
+            for exchange in self._waiting
+            if not any(self._may_use(exchange, conn, now) for conn in self._open)
+        ]
         for exchange in failed:
             self._waiting.remove(exchange)
         for exchange in failed:
--- a/test/transport/test_http_pool.py
+++ b/test/transport/test_http_pool.py
@@ -287,6 +287,33 @@
     assert ended[1].connection is not first.connection
 
 
+async def test_a_request_that_allows_no_idle_time_opens_a_connection(pool_of):
+    # Guards against a request that must run only once over a connection whose other
+    # end is gone: it can't be repeated then.
+    server = Server(ONE % 1, ONE % 2)
+    pool = await pool_of(server, quota=2)
+    await run(pool)
+    await asyncio.sleep(0.05)
+    await run(pool, max_idle_s=0.01)
+    assert server.connections == 2
+    await run(pool)
+    assert server.connections == 2
+
+
+async def test_a_request_that_no_idle_connection_may_carry_ends_if_none_opens(pool_of):
+    # Guards against a request that waits for ever beside connections that it can't use.
+    server = Server(ONE % 1, ONE % 2)
+    pool = await pool_of(server, quota=2)
+    await run(pool)
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        pool.address = unused.getsockname()
+        await asyncio.sleep(0.05)
+        exchange = await run(pool, max_idle_s=0.01)
+    assert exchange.end is ExchangeEnd.NOT_CONNECTED
+    assert not exchange.written
+
+
 async def test_a_request_without_a_connection_to_use_ends_as_not_connected():
     # Guards against a wait until the deadline at a target that takes no further
     # connections.
