Treat responses without a valid HTTP status as malformed

Cause: the HTTP client took any three digits as a status. A single request whose target answered with 000, 099, 600 or 999 and a stamp got that response.

Change: a status outside 100 to 599, and 101, which no request asks for, ends the exchange as malformed; the target is judged by it and another one is asked where the route allows it. The same client reads the store. The clients of the own interface and of its platform take nothing but the statuses that they name.

The test failed for 000, 099, 600 and 999 before (101 was refused already) and passes for all five now.

--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -21,6 +21,10 @@
 # A connection is not reused during this time before the server's idle timeout, because
 # the server could close it while a request is in transit.
 KEEP_ALIVE_MARGIN_S = 1.0
+# The statuses that HTTP defines; a target in trouble may send others.
+VALID_STATUSES = range(100, 600)
+# This status ends HTTP on a connection, which no request here asks for.
+SWITCHING_PROTOCOLS = 101
 # The idle timeout that is assumed for servers that send none.
 DEFAULT_IDLE_S = 60.0
 
@@ -49,6 +53,7 @@
         self._meter = ResponseMeter()
         self._values: HeaderValues = {}
         self._complete = False
+        self._malformed = False
         self._body_ends_with_connection = False
         self._reusable = True
         self.exchange: Exchange | None = None
@@ -81,6 +86,9 @@
 
     def _check_progress(self) -> None:
         """Finish a complete response, or end one that exceeds a bound."""
+        if self._malformed:
+            self._fail_exchange(ExchangeEnd.MALFORMED)
+            return
         meter = self._meter
         exceeded = meter.exceeded_content() or (
             "" if self._complete else meter.exceeded_overhead()
@@ -128,6 +136,11 @@
         exchange = self.exchange
         exchange.status = self._parser.get_status_code()
         self._meter.end_head()
+        if exchange.status not in VALID_STATUSES or (
+            exchange.status == SWITCHING_PROTOCOLS
+        ):
+            self._malformed = True
+            return
         values = self._values = {name.lower(): val for name, val in exchange.fields}
         reader = exchange.reader
         if reader is not None and not reader.watched_fields.isdisjoint(values):
@@ -152,7 +165,7 @@
 
         An interim (1xx) response and one to another request are dropped.
         """
-        if self._complete:
+        if self._complete or self._malformed:
             return
         exchange = self.exchange
         if 100 <= exchange.status < 200:
--- a/test/transport/test_http_pool.py
+++ b/test/transport/test_http_pool.py
@@ -143,6 +143,16 @@
     assert (await run(pool)).end is ExchangeEnd.MALFORMED
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+async def test_a_response_without_a_valid_status_ends_as_malformed(pool_of, status):
+    # Guards against a caller that gets the status of a target in trouble as an answer.
+    # The client offers no other protocol, so that 101 is none either.
+    answer = b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status
+    pool = await pool_of(Server(answer))
+    exchange = await run(pool)
+    assert exchange.end is ExchangeEnd.MALFORMED
+
+
 async def test_a_chunked_body_is_decoded_and_the_connection_kept(pool_of):
     chunked = (
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
