Send nothing to the targets of a data centre that the operator evacuates

The operator drains a data centre by a key in the store, which no instance read: all of them went on sending there until the targets were gone.

The client of the store now reads these keys, the instance that polls pushes the whole set to the others with each update (an announcement has it too), and each instance withholds the targets from the moment it knows. What waits for a connection there goes to another target at once, running requests may finish. A build that lacks the field confirms no evacuations, so an instance that hears only from such builds reads the store itself. Events 313 and 314, gauges for evacuated data centres and withheld targets.

--- a/filbertshelf/coordination/feed.py
+++ b/filbertshelf/coordination/feed.py
@@ -30,6 +30,11 @@
     TargetChange,
     TargetDirectory,
 )
+from filbertshelf.state.evacuation import (
+    EvacuationChange,
+    EvacuationEntry,
+    EvacuationSet,
+)
 from filbertshelf.state.members import Address, Member, Status
 from filbertshelf.state.platform_update import PlatformUpdate
 from filbertshelf.state.poll_schedule import MAX_RANK, poll_due_at, retry_delay_s
@@ -73,10 +78,12 @@
 
 @attrs.frozen
 class FeedListener:
-    """Callbacks for a new configuration and for changed targets."""
+    """Callbacks for a new configuration, changed targets and evacuated data centres."""
 
     on_table: Callable[[RouteTable], None]
     on_targets: Callable[[Sequence[TargetChange]], None]
+    on_evacuations: Callable[[frozenset[str]], None] = lambda data_centres: None
+    """Called with all evacuated data centres, before any target in them is listed."""
 
 
 class Feed(mode.Service):
@@ -100,6 +107,7 @@
     ):
         super().__init__()
         self.directory = TargetDirectory()
+        self.evacuations = EvacuationSet()
         self._config = FeedConfig(decode, listener.on_table)
         self._name = cfg.instance.name
         self._seeds = cfg.instance.peers
@@ -110,6 +118,7 @@
         self._membership = membership
         self._listener = listener
         self._confirmed_at = -math.inf
+        self._evacuations_confirmed_at = -math.inf
         self._platform_answered_at = -math.inf
         self._removals_unsure_until = -math.inf
         self._needs_snapshot = True
@@ -127,8 +136,13 @@
 
     @property
     def ready(self) -> bool:
-        """Return whether a configuration and the targets are known."""
-        return self.table is not None and self.directory.revision > 0
+        """Return whether a configuration, the targets and the evacuations are known.
+
+        If only peers of an older build answer, the evacuations can't be known.
+        """
+        if self.table is None or not self.directory.revision:
+            return False
+        return self.evacuations.revision > 0 or self._failures > 0
 
     def age_s(self) -> float:
         """Return the seconds since the platform last confirmed the content."""
@@ -164,7 +178,9 @@
         """Return the seconds left to wait for an update from a peer."""
         if self._needs_snapshot:
             return 0.0
-        due = poll_due_at(self._confirmed_at, self._rank())
+        # Updates of an older build confirm no evacuations.
+        confirmed_at = min(self._confirmed_at, self._evacuations_confirmed_at)
+        due = poll_due_at(confirmed_at, self._rank())
         return due - self._clock.monotonic()
 
     def _rank(self) -> int:
@@ -184,15 +200,15 @@
 
     async def _poll(self) -> None:
         polled_at = self._clock.monotonic()
-        if self._needs_snapshot:
+        if self._needs_snapshot or self._lacks_evacuations():
             update = await self._source.snapshot()
         else:
+            # After updates of an older build the evacuations are behind the targets.
+            after = min(self.directory.revision, self.evacuations.revision)
             try:
-                update = await self._source.changes(self.directory.revision)
+                update = await self._source.changes(after)
             except HistoryLostError:
-                events.emit(
-                    events.PLATFORM_HISTORY_LOST, revision=self.directory.revision
-                )
+                events.emit(events.PLATFORM_HISTORY_LOST, revision=after)
                 self._needs_snapshot = True
                 return
         if self._is_of_later_era(update):
@@ -205,6 +221,7 @@
         config_before = self._config.text
         self._apply(update, "platform", self._removals_unsure())
         self._confirmed_at = max(self._confirmed_at, polled_at)
+        self._evacuations_confirmed_at = max(self._evacuations_confirmed_at, polled_at)
         # At startup nothing is pushed, because every instance reads the full content.
         if before:
             config = self._config.text
@@ -213,6 +230,11 @@
             changes = self.directory.changes_since(before, era_before)
             self._push(PlatformUpdate(changes, config), self._removals_unsure())
 
+    def _lacks_evacuations(self) -> bool:
+        """Return whether the evacuations of the directory's era are not known."""
+        known = self.evacuations
+        return not known.revision or known.era != self.directory.era
+
     def _is_of_later_era(self, update: PlatformUpdate) -> bool:
         """Return whether changes are from after a restore that isn't known yet."""
         change = update.directory
@@ -282,6 +304,10 @@
 
     async def _on_update(self, sender: Sender, msg: FeedUpdate) -> None:
         msg = attrs.evolve(msg, era=self._era_of(msg))
+        if msg.era == self.directory.era:
+            # Evacuations must not wait for other content to be fetched.
+            changed = self._apply_evacuations(msg.evacuations())
+            self._log_evacuations(changed, sender.id)
         if self._must_fetch(msg):
             await self._fetch_from(sender.address)
         else:
@@ -316,9 +342,10 @@
         self._apply(update, source, msg.unsure)
         # A sender that doesn't know of a restore confirms an outdated content.
         if msg.era == self.directory.era:
-            self._confirmed_at = max(
-                self._confirmed_at, self._clock.monotonic() - msg.age_s
-            )
+            at = self._clock.monotonic() - msg.age_s
+            self._confirmed_at = max(self._confirmed_at, at)
+            if msg.evacuated_at:
+                self._evacuations_confirmed_at = max(self._evacuations_confirmed_at, at)
 
     def _holds(self, msg: FeedUpdate) -> bool:
         """Return whether a receiver of the message could fetch its content here."""
@@ -339,6 +366,7 @@
         return self._message(PlatformUpdate(changes, config), self._removals_unsure())
 
     def _message(self, update: PlatformUpdate, unsure: bool) -> FeedUpdate:
+        update = attrs.evolve(update, evacuations=self.evacuations.whole())
         return FeedUpdate.of(update, self._config.held, self.age_s(), unsure)
 
     async def _fetch_from_any(self) -> None:
@@ -379,6 +407,37 @@
     # Applying updates.
 
     def _apply(self, update: PlatformUpdate, source: str, unsure: bool) -> None:
+        change = update.directory
+        changed: list[EvacuationEntry] = []
+        # Content of a later era counts only as a whole.
+        if self.directory.is_contiguous(change) or change.era == self.directory.era:
+            # No target may be used that is listed in an evacuated data centre.
+            changed = self._apply_evacuations(update.evacuations)
+        self._apply_content(update, source, unsure)
+        self._log_evacuations(changed, source)
+
+    def _apply_evacuations(
+        self, change: EvacuationChange | None
+    ) -> list[EvacuationEntry]:
+        """Apply a change and return the evacuations that began or ended by it."""
+        changed = [] if change is None else self.evacuations.apply(change)
+        if changed:
+            self._listener.on_evacuations(self.evacuations.data_centres)
+        return changed
+
+    def _log_evacuations(self, changed: Sequence[EvacuationEntry], source: str) -> None:
+        for entry in changed:
+            began, ended = events.DATA_CENTRE_EVACUATED, events.EVACUATION_ENDED
+            targets = self.directory.targets().values()
+            events.emit(
+                began if entry.active else ended,
+                data_centre=entry.data_centre,
+                revision=entry.revision,
+                source=source,
+                targets=sum(t.data_centre == entry.data_centre for t in targets),
+            )
+
+    def _apply_content(self, update: PlatformUpdate, source: str, unsure: bool) -> None:
         if update.config is not None:
             self._config.apply(update.config, source)
         if self.directory.is_contiguous(update.directory):
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -152,7 +152,11 @@
             decode,
             self.peers,
             self.membership,
-            FeedListener(self.targets.apply_table, self.targets.apply),
+            FeedListener(
+                self.targets.apply_table,
+                self.targets.apply,
+                self.targets.set_evacuated,
+            ),
         )
         self.delegation = Delegation(self.context, self.peers, self._rng)
         self.delegation.own_id = instance.name
@@ -194,6 +198,11 @@
             "Listed targets that name a rate limit.",
             self.targets.rate_limited_count,
         )
+        gauge(
+            "evacuated_data_centres",
+            "Data centres whose targets get no requests by order of the operator.",
+            lambda: len(self.feed.evacuations.data_centres),
+        )
         for cause in Cause:
             gauge(
                 f"{cause.value}_targets",
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -94,6 +94,7 @@
         self.statements = TargetStatements(
             self._entries, clock, rng, call_later, on_limit_ended, on_leaving
         )
+        self._evacuated: frozenset[str] = frozenset()
         self._role = UNKNOWN_ROLE
         self.reachability = ReachabilityMonitor(self._choose_probed, clock, call_later)
         self.reachability.on_change.append(self._forget_failed_link)
@@ -126,12 +127,13 @@
         return not caps or CONNECTION_SHARE * min(caps) >= size
 
     def data_centres_near_shards(self, table: RouteTable) -> frozenset[str]:
-        """Return the data centres that hold targets of most shards."""
+        """Return the data centres that hold usable targets of most shards."""
         shard_services = _shard_services(table)
         counts: collections.Counter[str] = collections.Counter()
         for name in shard_services & self._services.keys():
             entries = self._services[name].entries.values()
-            counts.update({entry.listed.data_centre for entry in entries})
+            names = {entry.listed.data_centre for entry in entries}
+            counts.update(names - self._evacuated)
         needed = NEAR_SHARE * len(shard_services)
         return frozenset(name for name, count in counts.items() if count > needed)
 
@@ -166,6 +168,43 @@
         entry.pool.close()
         events.emit(events.TARGET_REMOVED, target=id_, reason=reason)
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Withhold the targets in these data centres, and use all others again.
+
+        Running exchanges may finish; those that wait for a connection go elsewhere.
+        """
+        ended = self._evacuated - data_centres
+        self._evacuated = data_centres
+        self._apply_evacuation(list(self._entries.values()))
+        for data_centre in sorted(ended):
+            self.evacuation_ended(data_centre)
+
+    def evacuation_ended(self, data_centre: str) -> None:
+        """Prepare the targets of a data centre whose evacuation has just ended.
+
+        They are allowed again already. Their connections were closed.
+        """
+        for service in self._services.values():
+            if self._should_warm_up(service):
+                for entry in service.entries.values():
+                    if entry.listed.data_centre == data_centre:
+                        self._warm_up(entry)
+
+    def _apply_evacuation(self, entries: Iterable[TargetEntry]) -> None:
+        """Withhold the targets in evacuated data centres, and no others."""
+        withheld = []
+        for entry in entries:
+            before = entry.evacuated
+            entry.evacuated = entry.listed.data_centre in self._evacuated
+            if entry.evacuated and not before:
+                withheld.append(entry)
+        # What waited for one of them is sent to another target at once, so all of them
+        # must be withheld by now.
+        now = self._clock.monotonic()
+        for entry in withheld:
+            entry.pool.end_waiting()
+            entry.pool.close_idle_since(now)
+
     def _add_or_update(self, listed: ListedTarget) -> None:
         entry = self._entries.get(listed.id)
         if entry is not None and _is_same_process(entry.listed, listed):
@@ -177,6 +216,7 @@
 
     def _update(self, entry: TargetEntry, listed: ListedTarget) -> None:
         entry.listed = listed
+        self._apply_evacuation([entry])
         self.statements.apply_listing(entry)
 
     def _add(self, listed: ListedTarget) -> None:
@@ -191,6 +231,7 @@
         service.entries[listed.id] = entry
         self._entries[listed.id] = entry
         self._apply_limits(service)
+        self._apply_evacuation([entry])
         events.emit(events.TARGET_ADDED, target=listed.id, address=address)
         self.statements.apply_listing(entry)
         if self._should_warm_up(service):
@@ -280,15 +321,12 @@
             return Reason.NO_REPLICA
         if any(entry.allows(now) for entry in available):
             return None
-        causes = {
-            entry.withholding.cause if entry.is_withheld(now) else None
-            for entry in available
-        }
+        causes = {entry.withheld_cause(now) for entry in available}
         if None in causes:
             return Reason.RATE_LIMITED
         if Cause.RETRY_LATER in causes:
             return Reason.RETRY_LATER
-        return Reason.DRAINING
+        return Reason.EVACUATED if Cause.EVACUATED in causes else Reason.DRAINING
 
     def soonest_return_s(self, service: str, now: float) -> float:
         """Return after how many seconds a target that asked for a pause may be asked.
@@ -300,18 +338,27 @@
         returns = [
             entry.withholding.until - now
             for entry in entries
-            if entry.withholding and entry.withholding.cause is Cause.RETRY_LATER
+            if entry.withholding
+            and entry.withholding.cause is Cause.RETRY_LATER
+            and not entry.evacuated
         ]
         return max(0.0, min(returns, default=math.inf))
 
     def send(
         self, entry: TargetEntry, exchange: Exchange, now: float, is_extra: bool = False
     ) -> None:
-        """Start an exchange with a target; a hedge or a retry is an extra one."""
+        """Start an exchange with a target; a hedge or a retry is an extra one.
+
+        It ends as not sent if the target's data centre is evacuated.
+        """
         entry.running[exchange] = now
         entry.rate.spend(now, is_extra)
         entry.state.attempt_started()
-        entry.pool.submit(exchange)
+        if entry.evacuated:
+            exchange.started_at = now
+            exchange.finish(ExchangeEnd.NOT_SENT)
+        else:
+            entry.pool.submit(exchange)
 
     def record_end(
         self,
@@ -381,8 +428,7 @@
         """Return how many listed targets are withheld now for a cause."""
         now = self._clock.monotonic()
         return sum(
-            entry.is_withheld(now) and entry.withholding.cause is cause
-            for entry in self._entries.values()
+            entry.withheld_cause(now) is cause for entry in self._entries.values()
         )
 
     def rate_limited_count(self) -> int:
--- a/filbertshelf/coordination/reachability.py
+++ b/filbertshelf/coordination/reachability.py
@@ -141,6 +141,10 @@
         elif not refused and not self.state.silent_since(self._round_started_at):
             # A target responded meanwhile, so the connects are only slow.
             self._set_reachable("", now)
+        elif any(entry.evacuated for entry in entries):
+            # They may have been stopped since, so other targets are probed.
+            self._start_round()
+            return
         else:
             self._call_later(RECHECK_INTERVAL_S, self._start_round)
             self._set_cut_off(entries, now)
@@ -207,6 +211,9 @@
             self._probe(self._unprobed.pop(0))
 
     def _probe(self, entry: TargetEntry) -> None:
+        if entry.evacuated:
+            # Since the start of the round.
+            return
         entry.pool.probe(lambda accepted: self._on_result(entry, accepted))
 
     def _on_result(self, entry: TargetEntry, accepted: bool) -> None:
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -351,7 +351,8 @@
             result=classification.result.value,
             reason=classification.reason.value,
         )
-        if classification.reason is Reason.CONNECTION_LOST:
+        if classification.reason is Reason.CONNECTION_LOST and not entry.evacuated:
+            # Targets of an evacuated data centre may be stopped on purpose.
             entry.pool.check_alive(self._on_target_death)
         if self._running:
             return
--- a/filbertshelf/coordination/target_entries.py
+++ b/filbertshelf/coordination/target_entries.py
@@ -64,7 +64,10 @@
     responded_at: float = float("-inf")
     """When the target last responded, in monotonic seconds."""
     withholding: Withholding | None = None
-    """What keeps new requests away, None for most targets."""
+    """What the target or its listing has said, None for most targets."""
+    evacuated: bool = False
+    """Whether its data centre is evacuated; unlike `withholding` the target's own
+    statements neither replace nor end this."""
     withheld_logged_at: float = float("-inf")
     """When its withholding was last logged, in monotonic seconds."""
     header_logged_at: float = float("-inf")
@@ -81,10 +84,12 @@
         return self.candidate.state
 
     def is_withheld(self, now: float) -> bool:
-        """Return whether the target has said that it wants no new request now.
+        """Return whether the target gets no new request now.
 
         After a pause that it asked for, one request at a time is sent until it answers.
         """
+        if self.evacuated:
+            return True
         withholding = self.withholding
         if withholding is None:
             return False
@@ -94,8 +99,16 @@
             return False
         return any(started >= withholding.until for started in self.running.values())
 
+    def withheld_cause(self, now: float) -> Cause | None:
+        """Return why the target gets no new request now, None if it does."""
+        if self.evacuated:
+            return Cause.EVACUATED
+        return self.withholding.cause if self.is_withheld(now) else None
+
     def allows(self, now: float) -> bool:
-        """Return whether the target's own statements allow a new request now."""
+        """Return whether its data centre and its own statements allow a new request."""
+        if self.evacuated:
+            return False
         if self.withholding is not None and self.is_withheld(now):
             return False
         return self.rate.allows(now)
--- a/filbertshelf/events/__init__.py
+++ b/filbertshelf/events/__init__.py
@@ -87,6 +87,8 @@
     ROUTED_REQUEST_REFUSED,
 )
 from filbertshelf.events.targets import (
+    DATA_CENTRE_EVACUATED,
+    EVACUATION_ENDED,
     RATE_LIMIT_IGNORED,
     TARGET_ADDED,
     TARGET_BREAKER_CHANGED,
@@ -124,7 +126,9 @@
     "CONFIG_REFUSED",
     "CONFIG_SUBSCRIBER_FAILED",
     "CONFIG_UNCONFIRMED",
+    "DATA_CENTRE_EVACUATED",
     "DELEGATES_CHANGED",
+    "EVACUATION_ENDED",
     "FRAME_MALFORMED",
     "HANDSHAKE_REFUSED",
     "HEDGE_DECIDED",
--- a/filbertshelf/events/targets.py
+++ b/filbertshelf/events/targets.py
@@ -109,3 +109,24 @@
     "reason",
     level=Level.WARNING,
 )
+
+DATA_CENTRE_EVACUATED = define(
+    313,
+    "data-centre-evacuated",
+    "The operator evacuates a data centre: its targets get no requests until the "
+    "evacuation ends. `targets` is how many of them are listed.",
+    "data_centre",
+    "revision",
+    "source",
+    "targets",
+)
+
+EVACUATION_ENDED = define(
+    314,
+    "evacuation-ended",
+    "The evacuation of a data centre has ended, and its targets are used again.",
+    "data_centre",
+    "revision",
+    "source",
+    "targets",
+)
--- a/filbertshelf/platform/constants.py
+++ b/filbertshelf/platform/constants.py
@@ -23,6 +23,8 @@
 
 CONFIG_KEY = "op/config"
 TARGET_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
+"""Before the name of a data centre; the operator writes the key to evacuate it."""
 ALL_KEYS_PREFIX = ""
 
 ERA_HEADER = b"store-era"
--- a/filbertshelf/platform/entries.py
+++ b/filbertshelf/platform/entries.py
@@ -71,6 +71,11 @@
     )
 
 
+def check_evacuation(text: bytes) -> None:
+    """Raise `PlatformContentError` if the value of an evacuation is malformed."""
+    _require_object(_parse_json(text), "the evacuation")
+
+
 def _check_unused_fields(doc: dict[str, Any]) -> None:
     """Check fields whose values aren't used, to reject entries of other writers."""
     _string(doc, "version")
--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -23,13 +23,19 @@
     ALL_KEYS_PREFIX,
     CONFIG_KEY,
     ERA_HEADER,
+    EVACUATION_PREFIX,
     RANGE_PATH,
     TARGET_PREFIX,
     WATCH_PATH,
 )
-from filbertshelf.platform.entries import decode_target, is_utf8_encodable
+from filbertshelf.platform.entries import (
+    check_evacuation,
+    decode_target,
+    is_utf8_encodable,
+)
 from filbertshelf.protocol.http_messages import HeaderField, find_field
 from filbertshelf.state.directory import DirectoryChange, TargetChange
+from filbertshelf.state.evacuation import EvacuationChange, EvacuationEntry
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 from filbertshelf.supervision import log_unexpected
 from filbertshelf.transport.http1.fetch import Fetcher
@@ -159,11 +165,17 @@
 ) -> PlatformUpdate:
     """Decode items or change events.
 
-    Malformed ones are logged and ignored; a malformed target entry counts as deleted.
+    Malformed ones are logged and ignored; a malformed target entry counts as deleted,
+    a malformed evacuation counts by its key alone.
     """
     config = None
     changes: dict[str, TargetChange] = {}
+    evacuations: dict[str, EvacuationEntry] = {}
     for item in items:
+        if _is_evacuation(item):
+            entry = _decode_evacuation(item, revision)
+            evacuations[entry.data_centre] = entry
+            continue
         if not _is_valid_item(item):
             _log_ignored(shown(item), revision, "it has no key or no revision")
             continue
@@ -174,7 +186,8 @@
             change = _decode_target_change(item, key.removeprefix(TARGET_PREFIX))
             changes[change.id] = change
     directory = DirectoryChange(since, revision, tuple(changes.values()), era)
-    return PlatformUpdate(directory, config)
+    evacuated = EvacuationChange(since, revision, tuple(evacuations.values()), era)
+    return PlatformUpdate(directory, config, evacuated)
 
 
 def _is_valid_item(item: Any) -> bool:
@@ -186,6 +199,38 @@
     )
 
 
+def _is_evacuation(item: Any) -> bool:
+    """Return whether the key of an item names an evacuated data centre."""
+    key = item.get("key") if isinstance(item, dict) else None
+    return (
+        isinstance(key, str)
+        and key.startswith(EVACUATION_PREFIX)
+        and key != EVACUATION_PREFIX
+        and is_utf8_encodable(key)
+    )
+
+
+def _decode_evacuation(item: dict[str, Any], store_revision: int) -> EvacuationEntry:
+    """Return the evacuation in an item, whatever its value is.
+
+    Requests at a data centre that the operator drains do more harm than a data centre
+    that is withheld by mistake. An item without a valid revision gets the store's.
+    """
+    key = item["key"]
+    name = key.removeprefix(EVACUATION_PREFIX)
+    active = not item.get("deleted")
+    revision = item.get("modRevision")
+    try:
+        if not is_integer(revision):
+            revision = store_revision
+            raise PlatformContentError("it has no revision")
+        if active:
+            check_evacuation(_decode_value(item))
+    except PlatformContentError as exc:
+        _log_ignored(key, revision, f"counts by its key alone: {exc}")
+    return EvacuationEntry(name, revision, active)
+
+
 def _decode_config(item: dict[str, Any]) -> ConfigText | None:
     """Return the configuration in an item, or None if it is deleted or malformed."""
     if item.get("deleted"):
--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -15,6 +15,7 @@
 from filbertshelf.json_values import is_integer
 from filbertshelf.protocol.messages import message
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
+from filbertshelf.state.evacuation import EvacuationChange, EvacuationEntry
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 
 MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
@@ -57,6 +58,8 @@
     `config_version` is the operator's version of the sender's configuration, which
     unlike the revision grows across restores; it is 0 if there is none or the sender is
     an older build. `sequences` belong to the rows of `targets`, 0 for a removed one.
+    `evacuated` has all evacuated data centres with the revisions of their writes, as of
+    the revision `evacuated_at`, which is 0 if the sender doesn't know them.
     """
 
     since: int
@@ -70,6 +73,8 @@
     era: int = UNKNOWN_ERA
     config_version: int = 0
     sequences: tuple[int, ...] = ()
+    evacuated: tuple[tuple[str, int], ...] = ()
+    evacuated_at: int = 0
 
     @classmethod
     def of(
@@ -77,6 +82,7 @@
     ) -> FeedUpdate:
         """Return the message for an update of the sender's content."""
         directory = update.directory
+        evacuated, evacuated_at = _pack_evacuations(update)
         return cls(
             directory.since,
             directory.revision,
@@ -88,6 +94,8 @@
             era=directory.era,
             config_version=held.version,
             sequences=tuple(_sequence(change) for change in directory.targets),
+            evacuated=evacuated,
+            evacuated_at=evacuated_at,
         )
 
     @property
@@ -96,7 +104,10 @@
         return len(self.targets) + len(self.config) + len(self.sequences)
 
     def announcement(self) -> FeedUpdate:
-        """Return the message without its content, which a receiver can request."""
+        """Return the message without its content, which a receiver can request.
+
+        The evacuations stay in it: they are small, and a request for them takes time.
+        """
         return attrs.evolve(
             self, since=self.revision, targets=b"", config=b"", sequences=()
         )
@@ -106,6 +117,19 @@
         """Return which configuration the sender holds."""
         return HeldConfig(self.config_revision, self.config_version)
 
+    def evacuations(self) -> EvacuationChange | None:
+        """Return the sender's evacuations, None if it doesn't know them.
+
+        Raises `MessageError` if a revision is out of range.
+        """
+        if not self.evacuated_at:
+            return None
+        revisions = (self.evacuated_at, *(revision for _, revision in self.evacuated))
+        if not all(is_integer(revision) for revision in revisions):
+            raise MessageError("a revision of the evacuations is out of range")
+        entries = tuple(EvacuationEntry(*item) for item in self.evacuated)
+        return EvacuationChange(0, self.evacuated_at, entries, self.era)
+
     def update(self) -> PlatformUpdate:
         """Return the update in the message; raises `MessageError` if malformed."""
         changes = _unpack_targets(self.targets)
@@ -115,7 +139,7 @@
         config = None
         if self.config:
             config = ConfigText(self.config_revision, _decompress(self.config))
-        return PlatformUpdate(directory, config)
+        return PlatformUpdate(directory, config, self.evacuations())
 
 
 @message("feed-wanted")
@@ -137,6 +161,17 @@
 # Targets are sent as lists of values, because field names would be most of the bytes.
 
 
+def _pack_evacuations(
+    update: PlatformUpdate,
+) -> tuple[tuple[tuple[str, int], ...], int]:
+    """Return the evacuations and their revision, 0 without any of the update's era."""
+    evacuations = update.evacuations
+    if evacuations is None or evacuations.era != update.directory.era:
+        return (), 0
+    packed = tuple((e.data_centre, e.revision) for e in evacuations.entries if e.active)
+    return packed, evacuations.revision
+
+
 def _pack_targets(changes: Iterable[TargetChange]) -> bytes:
     rows = [_row_from_change(change) for change in changes]
     return _compress(cbor2.dumps(rows)) if rows else b""
--- a/filbertshelf/state/outcome.py
+++ b/filbertshelf/state/outcome.py
@@ -28,6 +28,7 @@
     CANCELLED = "cancelled"
     OTHER_SNAPSHOT = "other_snapshot"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
     RETRY_LATER = "retry_later"
--- a/filbertshelf/state/platform_update.py
+++ b/filbertshelf/state/platform_update.py
@@ -5,6 +5,7 @@
 import attrs
 
 from filbertshelf.state.directory import DirectoryChange
+from filbertshelf.state.evacuation import EvacuationChange
 
 
 @attrs.frozen
@@ -17,7 +18,12 @@
 
 @attrs.frozen
 class PlatformUpdate:
-    """Changes on the platform; `config` is None if the configuration is unchanged."""
+    """Changes on the platform.
+
+    `config` is None if the configuration is unchanged, `evacuations` if they are not
+    known, as from a peer of an older build.
+    """
 
     directory: DirectoryChange
     config: ConfigText | None = None
+    evacuations: EvacuationChange | None = None
--- a/filbertshelf/state/withholding.py
+++ b/filbertshelf/state/withholding.py
@@ -27,6 +27,8 @@
     """The target has said in a response that it leaves."""
     RETRY_LATER = "retry_later"
     """The target has refused a request and named a time to come back."""
+    EVACUATED = "evacuated"
+    """The operator has evacuated the target's data centre."""
 
 
 @attrs.frozen
--- a/test/coordination/feed_fleet.py
+++ b/test/coordination/feed_fleet.py
@@ -19,6 +19,7 @@
 from filbertshelf.gateway_settings import GatewaySettings
 from filbertshelf.settings import Settings
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
+from filbertshelf.state.evacuation import EvacuationChange, EvacuationEntry
 from filbertshelf.state.members import Member
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 from filbertshelf.state.retry_window import RetryPolicy
@@ -35,6 +36,7 @@
         self.config = ConfigText(1, b"1")
         self.targets = {}
         self.change_log = []
+        self.evacuation_log = []
         self.calls = 0
         self.unavailable_to = set()
         self.oldest_known = 0
@@ -60,10 +62,30 @@
         del self.targets[id_]
         self.change_log.append(TargetChange(id_, self.revision, None))
 
+    def evacuate(self, data_centre: str, active: bool = True) -> None:
+        """Write or delete the key that evacuates a data centre."""
+        self.revision += 1
+        entry = EvacuationEntry(data_centre, self.revision, active)
+        self.evacuation_log.append(entry)
+
+    def evacuations(self, after: int) -> EvacuationChange:
+        """Return the evacuations that began or ended after a revision."""
+        latest = {entry.data_centre: entry for entry in self.evacuation_log}
+        entries = tuple(
+            entry
+            for entry in latest.values()
+            if entry.revision > after and (after or entry.active)
+        )
+        return EvacuationChange(after, self.revision, entries, self.era)
+
     def copy(self) -> PlatformCopy:
         """Return a copy of the content, from which the platform can be restored."""
         return PlatformCopy(
-            self.revision, self.config, dict(self.targets), tuple(self.change_log)
+            self.revision,
+            self.config,
+            dict(self.targets),
+            tuple(self.change_log),
+            tuple(self.evacuation_log),
         )
 
     def restore(self, copy: PlatformCopy) -> None:
@@ -73,6 +95,7 @@
         self.config = copy.config
         self.targets = dict(copy.targets)
         self.change_log = list(copy.change_log)
+        self.evacuation_log = list(copy.evacuation_log)
 
 
 @attrs.frozen
@@ -83,6 +106,7 @@
     config: ConfigText
     targets: dict[str, TargetChange]
     change_log: tuple[TargetChange, ...]
+    evacuation_log: tuple[EvacuationEntry, ...]
 
 
 class SourceStub:
@@ -99,7 +123,7 @@
         directory = DirectoryChange(
             0, platform.revision, tuple(platform.targets.values()), platform.era
         )
-        return PlatformUpdate(directory, platform.config)
+        return PlatformUpdate(directory, platform.config, platform.evacuations(0))
 
     async def changes(self, after: int) -> PlatformUpdate:
         """Return the changes after a revision."""
@@ -112,7 +136,9 @@
         )
         config = platform.config if platform.config.revision > after else None
         return PlatformUpdate(
-            DirectoryChange(after, platform.revision, changes, platform.era), config
+            DirectoryChange(after, platform.revision, changes, platform.era),
+            config,
+            platform.evacuations(after),
         )
 
     async def _call(self) -> None:
@@ -132,6 +158,8 @@
         self.feeds: dict[str, Feed] = {}
         self.tables: dict[str, list[int]] = {}
         self.removed: dict[str, list[str]] = {}
+        self.evacuated: dict[str, list[frozenset[str]]] = {}
+        """The sets that each instance has put in force, in order."""
         self.cut_off: set[str] = set()
         for number in range(size):
             self.add(f"n{number}", number)
@@ -141,11 +169,13 @@
         peers = PeersStub(self, name)
         tables = self.tables[name] = []
         removed = self.removed[name] = []
+        evacuated = self.evacuated[name] = []
         listener = FeedListener(
             lambda table: tables.append(table.version),
             lambda changes: removed.extend(
                 change.id for change in changes if change.target is None
             ),
+            evacuated.append,
         )
         cfg = GatewaySettings(
             instance=Settings(
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -472,6 +472,36 @@
     assert "filbertshelf_leaving_targets 1.0" in metrics
 
 
+async def test_an_evacuated_data_centre_gets_no_request_until_its_key_is_removed(
+    deployment,
+):
+    # Guards against a request at a data centre that the operator drains, also if it
+    # waits for a connection, and against one that stays unused afterwards.
+    target = deployment.targets[0]
+    target.fault = "hold"
+    queued = [asyncio.create_task(deployment.send_request("/one/x")) for _ in range(60)]
+    gateway = deployment.gateways[0]
+    pool = gateway.targets._entries["i-1"].pool
+    await wait_until(lambda: pool.waiting and len(target.held_requests) == pool.size)
+    deployment.store.put("op/evacuate/here", {})
+    gateway.feed.refresh()
+    await wait_until(lambda: gateway.targets.withheld_count(Cause.EVACUATED) == 2)
+    assert pool.waiting == 0
+    running = len(target.held_requests)
+    for req, answer in target.held_requests:
+        req.reply(answer)
+    statuses = [status for status, _, _ in await asyncio.gather(*queued)]
+    assert (statuses.count(200), statuses.count(503)) == (running, 60 - running)
+    assert (await deployment.send_request("/one/x"))[0] == 503
+    assert len(target.requests) == running
+    metrics = gateway.metrics.render().decode()
+    assert "filbertshelf_evacuated_data_centres 1.0" in metrics
+    target.fault = ""
+    deployment.store.delete("op/evacuate/here")
+    await wait_until(lambda: not gateway.targets.withheld_count(Cause.EVACUATED))
+    assert (await deployment.send_request("/one/x"))[0] == 200
+
+
 async def test_a_target_that_names_a_time_to_return_gets_nothing_until_then(deployment):
     # Guards against retries and new requests at a target that wants none.
     target = deployment.targets[1]
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -242,3 +242,27 @@
     assert [c.id for c in update.directory.targets if c.target] == ["i-a", "i-c"]
     (line,) = [line for line in log if line["event"] == 108]
     assert "ZeroDivisionError" in line["traceback"]
+
+
+async def test_an_evacuation_is_read_and_ends_when_its_key_is_removed(store, client):
+    store.put("op/evacuate/qld-south-a", {})
+    before = await client.snapshot()
+    (entry,) = before.evacuations.entries
+    assert (entry.data_centre, entry.active) == ("qld-south-a", True)
+    assert before.evacuations.since == 0
+    store.delete("op/evacuate/qld-south-a")
+    (entry,) = (await client.changes(before.directory.revision)).evacuations.entries
+    assert (entry.data_centre, entry.active) == ("qld-south-a", False)
+    assert (await client.snapshot()).evacuations.entries == ()
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"true", b"[" * 100_000])
+async def test_an_evacuation_counts_whatever_its_value_is(store, client, log, value):
+    # Guards against requests at a data centre that the operator drains by hand.
+    store.put("op/evacuate/a", value)
+    store.put("op/evacuate/b", {})
+    store.items["op/evacuate/b"]["modRevision"] = "seven"
+    store.put("op/evacuate/", {})
+    update = await client.snapshot()
+    assert {e.data_centre for e in update.evacuations.entries} == {"a", "b"}
+    assert len({line["key"] for line in log if line["event"] == 413}) == 2
