Keep requests of a route in its allowed regions

A route could not say in which regions its requests may be served, so a hedge or a substitute in any data centre could get a request and its body.

`allowedRegions` of a route limits the targets to data centres in these regions, by the table `[zones]` of the settings; a data centre without a region is in none. The body is given only to instances there or in the region of the caller's instance. Routes without the field are served as before.

--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 import secrets
-from collections.abc import Callable, Collection, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable, Mapping
 from typing import Any, Protocol
 
 import attrs
@@ -25,7 +25,11 @@
     DelegationRequest,
 )
 from filbertshelf.protocol.http_messages import Response
-from filbertshelf.state.delegation import Delegates, pick_substitute
+from filbertshelf.state.delegation import (
+    Delegates,
+    outside_regions,
+    pick_substitute,
+)
 from filbertshelf.state.members import Address, Member
 from filbertshelf.state.routing import Repeat, Route
 from filbertshelf.supervision import contained
@@ -112,6 +116,8 @@
         """The member id of this instance."""
         self.data_centre = ""
         """The data centre of this instance."""
+        self.regions: Mapping[str, str] = {}
+        """The region of each data centre."""
         self.members: Callable[[], Iterable[Member]] = tuple
         """Returns the known instances, any of which may run a request for this one."""
         self._context = context
@@ -142,11 +148,15 @@
             and self.delegates.time_saved_s(shards, self.own_cost_us) <= 0
         ):
             return None
-        return self.delegates.pick(self._rng, self._avoided())
+        members = self.delegates.local + self.delegates.remote
+        avoided = {*self._avoided(), *self._outside_regions(request, members)}
+        return self.delegates.pick(self._rng, avoided)
 
     def choose_substitute(self, request: RoutedRequest) -> Member | None:
         """Return an instance to run a request because this one reaches no target."""
-        avoided = {self.own_id, *self._avoided()}
+        known = [*self.members(), *self.delegates.local, *self.delegates.remote]
+        outside = self._outside_regions(request, known)
+        avoided = {self.own_id, *self._avoided(), *outside}
         if request.route.gather is not None and not self.full_mesh:
             delegate = self.delegates.pick(self._rng, avoided)
             if delegate is not None:
@@ -156,6 +166,13 @@
         members = (member for member in self.members() if member.id != self.own_id)
         return pick_substitute(members, proven, avoided, self.data_centre, self._rng)
 
+    def _outside_regions(
+        self, request: RoutedRequest, members: Iterable[Member]
+    ) -> set[str]:
+        return outside_regions(
+            members, request.route.allowed_regions, self.regions, self.data_centre
+        )
+
     def _avoided(self) -> Collection[str]:
         now = self._context.clock.monotonic()
         self._avoided_until = {
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -161,6 +161,7 @@
         self.delegation = Delegation(self.context, self.peers, self._rng)
         self.delegation.own_id = instance.name
         self.delegation.data_centre = instance.data_centre
+        self.delegation.regions = cfg.regions
         self.delegation.members = self.membership.members
         self.delegation.own_cost_us = cfg.shard_cost_us
         self.membership.table.set_shard_cost(cfg.shard_cost_us)
@@ -344,6 +345,8 @@
             return
         old, self.cfg = self.cfg, cfg
         self.targets.set_retries(cfg.retries)
+        self.targets.set_regions(cfg.regions)
+        self.delegation.regions = cfg.regions
         self.feed.set_seeds(cfg.instance.peers)
         changed = _changed_fields(old, cfg)
         need_restart = [name for name in changed if name.endswith("listen")]
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -95,6 +95,7 @@
             self._entries, clock, rng, call_later, on_limit_ended, on_leaving
         )
         self._evacuated: frozenset[str] = frozenset()
+        self._regions = cfg.regions
         self._role = UNKNOWN_ROLE
         self.reachability = ReachabilityMonitor(self._choose_probed, clock, call_later)
         self.reachability.on_change.append(self._forget_failed_link)
@@ -107,6 +108,10 @@
         for service in self._services.values():
             service.budget.set_policy(policy)
 
+    def set_regions(self, regions: Mapping[str, str]) -> None:
+        """Apply the regions of the data centres in new settings."""
+        self._regions = regions
+
     def set_role(self, role: FleetRole) -> None:
         """Divide connections and budgets by the role's numbers of instances."""
         if role == self._role:
@@ -296,26 +301,42 @@
         exclude: Collection[str],
         now: float,
         restrict_to: Collection[str] | None = None,
+        regions: frozenset[str] = frozenset(),
     ) -> TargetEntry | None:
         """Return the target for a sub-request, or None if none is available.
 
-        With `restrict_to`, only targets with these ids are considered.
+        With `restrict_to`, only targets with these ids are considered, and with
+        `regions` only those in data centres of these regions.
         """
-        service_targets = self._services.get(service)
-        if service_targets is None:
-            return None
         candidates = [
             entry.refreshed_candidate()
-            for id_, entry in service_targets.entries.items()
-            if (restrict_to is None or id_ in restrict_to) and entry.allows(now)
+            for entry in self._entries_within(service, regions)
+            if (restrict_to is None or entry.id in restrict_to) and entry.allows(now)
         ]
         chosen = choose_cheapest(candidates, exclude, now, self._rng)
-        return None if chosen is None else service_targets.entries[chosen.state.name]
+        return None if chosen is None else self._entries[chosen.state.name]
 
-    def unavailable_reason(self, service: str, now: float) -> Reason | None:
-        """Return why no target may be sent a request now, None if one may be."""
+    def _entries_within(
+        self, service: str, regions: frozenset[str]
+    ) -> Collection[TargetEntry]:
+        """Return the targets of a service, without `regions` in all regions."""
         service_targets = self._services.get(service)
-        entries = [] if service_targets is None else service_targets.entries.values()
+        if service_targets is None:
+            return ()
+        entries = service_targets.entries.values()
+        if not regions:
+            return entries
+        return [
+            entry
+            for entry in entries
+            if self._regions.get(entry.listed.data_centre) in regions
+        ]
+
+    def unavailable_reason(
+        self, service: str, now: float, regions: frozenset[str] = frozenset()
+    ) -> Reason | None:
+        """Return why no target may be sent a request now, None if one may be."""
+        entries = self._entries_within(service, regions)
         available = [entry for entry in entries if entry.state.is_available()]
         if not available:
             return Reason.NO_REPLICA
@@ -328,16 +349,16 @@
             return Reason.RETRY_LATER
         return Reason.EVACUATED if Cause.EVACUATED in causes else Reason.DRAINING
 
-    def soonest_return_s(self, service: str, now: float) -> float:
+    def soonest_return_s(
+        self, service: str, now: float, regions: frozenset[str] = frozenset()
+    ) -> float:
         """Return after how many seconds a target that asked for a pause may be asked.
 
         It is infinite if there is none.
         """
-        service_targets = self._services.get(service)
-        entries = [] if service_targets is None else service_targets.entries.values()
         returns = [
             entry.withholding.until - now
-            for entry in entries
+            for entry in self._entries_within(service, regions)
             if entry.withholding
             and entry.withholding.cause is Cause.RETRY_LATER
             and not entry.evacuated
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -79,6 +79,7 @@
         self._context = context
         self._request = request
         self._listener = listener
+        self._regions = request.route.allowed_regions
         self._repeatable = request.route.repeat is Repeat.IDEMPOTENT
         self.watched_fields = context.classifier.statement_fields
         self._tried: set[str] = set()
@@ -104,11 +105,12 @@
 
     def check_available(self, now: float) -> bool:
         """Return whether a target is available; if not, `reason` says why."""
-        reason = self._context.targets.unavailable_reason(self.service, now)
+        targets = self._context.targets
+        reason = targets.unavailable_reason(self.service, now, self._regions)
         if reason is not None:
             self.reason = reason
         if reason is Reason.RETRY_LATER:
-            soonest_s = self._context.targets.soonest_return_s(self.service, now)
+            soonest_s = targets.soonest_return_s(self.service, now, self._regions)
             left_s = self._request.deadline - now
             self.returns_in_s = min(soonest_s, HONOURED_SHARE * left_s)
         return reason is None
@@ -152,7 +154,9 @@
         return decision == "sent"
 
     def _may_hedge_help(self, waited_s: float, now: float) -> bool:
-        other = self._context.targets.choose(self.service, self._tried, now)
+        other = self._context.targets.choose(
+            self.service, self._tried, now, regions=self._regions
+        )
         if other is None:
             # The attempt to send finds that out too, and says so.
             return True
@@ -163,7 +167,9 @@
     def _reassign(self, exchange: Exchange, entry: TargetEntry, now: float) -> bool:
         """Ask another target instead of one to which no connection is free."""
         targets = self._context.targets
-        replacement = targets.choose(self.service, self._tried, now)
+        replacement = targets.choose(
+            self.service, self._tried, now, regions=self._regions
+        )
         if replacement is None or not replacement.pool.has_room():
             return False
         del self._running[exchange]
@@ -240,7 +246,9 @@
     def _choose(self, now: float) -> TargetEntry | None:
         """Return the best untried target that the route allows."""
         restrict_to = None if self._may_use_another_target() else self._sent_to
-        return self._context.targets.choose(self.service, self._tried, now, restrict_to)
+        return self._context.targets.choose(
+            self.service, self._tried, now, restrict_to, self._regions
+        )
 
     def _send(self, entry: TargetEntry, now: float, is_extra: bool = False) -> None:
         request = self._request
--- a/filbertshelf/gateway_settings.py
+++ b/filbertshelf/gateway_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
 from filbertshelf.addresses import Address
@@ -28,6 +30,8 @@
     """The retry budget of each service across the whole fleet."""
     shard_cost_us: int = 0
     """Microseconds that this machine needs for one shard of a query; 0 if unknown."""
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    """The region of each data centre; one that is absent is in no known region."""
     stop_grace_s: float
     """The time from the stop signal to the end of the process."""
     stop_serve_s: float = STOP_SERVE_S
--- a/filbertshelf/platform/entries.py
+++ b/filbertshelf/platform/entries.py
@@ -98,6 +98,7 @@
         priority=_optional(item, "priority", _integer, DEFAULT_PRIORITY),
         weighted_services=_decode_weighted_services(item),
         gather=_decode_gather(item) if "gather" in item else None,
+        allowed_regions=frozenset(_optional(item, "allowedRegions", _strings, ())),
     )
 
 
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -95,10 +95,23 @@
         metrics_listen=(host, METRICS_PORT),
         retries=retries,
         shard_cost_us=shard_cost_us(cores, link_mbps) if cores and link_mbps else 0,
+        regions=_regions(doc),
         stop_grace_s=grace,
     )
 
 
+def _regions(doc: dict[str, Any]) -> dict[str, str]:
+    """Return the region of each data centre.
+
+    Older settings have none. A malformed region is ignored: no request that is limited
+    to some regions goes to a data centre without one, and no other request needs it.
+    """
+    zones = doc.get("zones")
+    if not isinstance(zones, dict):
+        return {}
+    return {name: region for name, region in zones.items() if isinstance(region, str)}
+
+
 class _FieldReader:
     """Reads fields by their path and collects every problem instead of raising it."""
 
--- a/filbertshelf/state/delegation.py
+++ b/filbertshelf/state/delegation.py
@@ -5,7 +5,7 @@
 import math
 import random
 import zlib
-from collections.abc import Collection, Iterable, Set
+from collections.abc import Collection, Iterable, Mapping, Set
 
 import attrs
 
@@ -147,6 +147,30 @@
     return fast if len(fast) >= MIN_DELEGATES else order[:MIN_DELEGATES]
 
 
+def outside_regions(
+    members: Iterable[Member],
+    allowed_regions: Set[str],
+    regions: Mapping[str, str],
+    data_centre: str,
+) -> set[str]:
+    """Return the ids of the members that must not get the body of a request.
+
+    Without `allowed_regions` there are none. Members in these regions and in the region
+    of the caller's instance, which runs in `data_centre`, may get it. `regions` has the
+    region of each data centre; members elsewhere without one must not get it.
+    """
+    if not allowed_regions:
+        return set()
+    allowed = {regions[data_centre]} if data_centre in regions else set()
+    allowed |= allowed_regions
+    return {
+        member.id
+        for member in members
+        if member.data_centre != data_centre
+        and regions.get(member.data_centre) not in allowed
+    }
+
+
 def pick_substitute(
     members: Iterable[Member],
     proven: Collection[str],
--- a/filbertshelf/state/routing.py
+++ b/filbertshelf/state/routing.py
@@ -73,6 +73,8 @@
     """The rank of the requests; 0 is the highest."""
     weighted_services: tuple[WeightedService, ...] = ()
     gather: Gather | None = None
+    allowed_regions: frozenset[str] = frozenset()
+    """The only regions whose targets may get the requests; empty for all regions."""
 
     def services(self) -> tuple[str, ...]:
         """Return the names of all services that the route can use."""
--- a/test/platform/test_entries.py
+++ b/test/platform/test_entries.py
@@ -252,3 +252,24 @@
         return
     table.match("pupu76.example", "/bapu561/2f")
     orjson.dumps([attrs.asdict(item) for item in table.services.values()])
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(["qld", "nsw"], {"qld", "nsw"}), ([], set()), (None, set())],
+)
+def test_the_allowed_regions_of_a_route_are_decoded(value, expected):
+    table = decode_route_table(
+        encode({**CONFIG, "routes": [{**ROUTE, "allowedRegions": value}]})
+    )
+    (route,) = table.routes()
+    assert route.allowed_regions == expected
+
+
+@pytest.mark.parametrize("value", ["qld", [7], [""], {"qld": 1}, 0, False])
+def test_malformed_allowed_regions_are_refused(value):
+    # Guards against a route whose limit is dropped because it can't be read.
+    with pytest.raises(PlatformContentError):
+        decode_route_table(
+            encode({**CONFIG, "routes": [{**ROUTE, "allowedRegions": value}]})
+        )
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -38,6 +38,7 @@
         "limits": {"cpuShare": 0.5, "cores": 2, "linkMbps": 100.0},
         "platform": {"address": "10.200.1.7:8102", "form": "read"},
         "somethingNew": {"a": [1]},
+        "zones": {"qld-south-a": "qld", "elsewhere": 7},
     }
 
 
@@ -51,6 +52,14 @@
     assert cfg.retries.slack == 129.0
     assert cfg.stop_grace_s == 6.0
     assert cfg.shard_cost_us == 400
+    assert cfg.regions == {"qld-south-a": "qld"}
+
+
+@pytest.mark.parametrize("zones", [None, ["qld-south-a"], "qld", {"a": {"b": "c"}}])
+def test_settings_without_a_usable_table_of_regions_are_valid(zones):
+    # Guards against older settings that an upgraded gateway refuses.
+    cfg = parse_gateway_settings({**settings(), "zones": zones})
+    assert cfg.regions == {}
 
 
 def test_all_problems_are_reported_together():
--- a/test/state/test_delegation.py
+++ b/test/state/test_delegation.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from filbertshelf.state.delegation import Delegates, shard_cost_us
+from filbertshelf.state.delegation import Delegates, outside_regions, shard_cost_us
 from filbertshelf.state.members import Member, Status
 
 SLOW = shard_cost_us(0.361, 7.0)
@@ -112,3 +112,21 @@
     rng = random.Random(1)
     assert {delegates.pick(rng, ()).id for _ in range(50)} == preferred
     assert delegates.pick(rng, preferred).id not in preferred
+
+
+@pytest.mark.parametrize(
+    ("regions", "allowed", "expected"),
+    [
+        ({"a": "r1", "b": "r1", "c": "r2"}, {"r2"}, ""),
+        ({"a": "r1", "b": "r3", "c": "r2"}, {"r2"}, "b"),
+        ({"a": "r1", "b": "r1", "c": "r2"}, {"r1"}, "c"),
+        ({"c": "r2"}, {"r2"}, "b"),
+        ({}, {"r2"}, "bc"),
+        ({}, set(), ""),
+    ],
+)
+def test_a_body_stays_in_the_allowed_regions_and_the_callers_own(
+    regions, allowed, expected
+):
+    members = [member(name, name, SLOW) for name in "abc"]
+    assert outside_regions(members, allowed, regions, "a") == set(expected)
