--- a/test/coordination/test_evacuation.py
+++ b/test/coordination/test_evacuation.py
@@ -54,7 +54,7 @@
     assert {(line["data_centre"], line["targets"]) for line in lines} == {("here", 1)}
 
 
-async def test_a_peer_that_lags_catches_up_and_misleads_nobody(fleet):
+async def test_a_peer_that_lags_catches_up_and_changes_no_other(fleet):
     # Guards against an evacuation that ends because a peer has not heard of it.
     fleet.cut_off = fleet.platform.unavailable_to = {"n5"}
     fleet.platform.evacuate("a")
@@ -184,6 +184,56 @@
         await feed.stop()
 
 
+async def test_an_instance_among_older_builds_waits_for_the_store_to_be_ready():
+    # Guards against a first request at an evacuated data centre because the targets
+    # come from a peer sooner than the evacuations from the store.
+    fleet = Fleet(1)
+    fleet.platform.put("t1")
+    make_older_build(fleet.feeds["n0"])
+    fleet.platform.evacuate("here")
+    await fleet.start()
+    await fleet.run(1.0)
+    fleet.add("n1", 1)
+    feed = fleet.feeds["n1"]
+    snapshot = feed._source.snapshot
+
+    async def slow_snapshot():
+        await fleet.clock.sleep(2.0)
+        return await snapshot()
+
+    feed._source.snapshot = slow_snapshot
+    await feed.start()
+    await fleet.run(1.5)
+    assert feed.directory.revision
+    assert not feed.ready
+    await fleet.run(1.0)
+    assert feed.ready
+    assert evacuated(fleet) == ["here", "here"]
+    for started in fleet.feeds.values():
+        await started.stop()
+
+
+async def test_an_instance_among_older_builds_reads_the_set_of_a_restored_store(fleet):
+    # Guards against a set of before the restore that is told to others as the new one,
+    # or that stays in force.
+    copy = fleet.platform.copy()
+    fleet.platform.evacuate("a")
+    await fleet.run(1.5)
+    for name in ("n0", "n1", "n2", "n3", "n4"):
+        make_older_build(fleet.feeds[name])
+    fleet.platform.unavailable_to = {"n5"}
+    fleet.platform.restore(copy)
+    fleet.platform.evacuate("b")
+    await fleet.run(3.0)
+    feed = fleet.feeds["n5"]
+    assert feed.directory.era == fleet.platform.era
+    update = PlatformUpdate(feed.directory.changes_since(0), None)
+    assert feed._message(update, False).evacuations() is None
+    fleet.platform.unavailable_to = set()
+    await fleet.run(3.0)
+    assert evacuated(fleet)[5] == "b"
+
+
 # What is sent.
 
 
@@ -284,9 +334,13 @@
     assert simulation.targets.choose("desk", {"t1", "t2", "t3"}, 2.0).id == "t4"
 
 
-def test_connections_are_opened_ahead_again_after_the_end(simulation):
+def test_idle_connections_are_closed_and_opened_ahead_after_the_end(simulation):
+    # Guards against connections whose other ends were lost while the data centre was
+    # down.
+    simulation.pools["t1"].has_hung = True
     simulation.targets.set_evacuated(frozenset((ELSEWHERE,)))
     simulation.time.run_until(2.0)
+    assert not simulation.pools["t1"].has_hung
     assert not simulation.pools["t1"].warmed
     simulation.targets.set_evacuated(NONE)
     simulation.time.run_until(4.0)
@@ -302,13 +356,14 @@
 
 
 def test_what_a_target_has_said_outlasts_an_evacuation(simulation):
-    # Guards against the end of a pause or of a farewell by the end of the evacuation.
+    # Guards against requests at a leaving or paused target once the evacuation ends.
     targets = simulation.targets
     read = simulation.context.classifier.read_statement
     for id_, fields in (("t1", {b"leaving": b"1"}), ("t2", {b"retry-after": b"9"})):
         targets.statements.record(targets._entries[id_], read(503, fields), 0.0)
     targets.set_evacuated(frozenset((ELSEWHERE,)))
     assert targets.withheld_count(Cause.EVACUATED) == 2
+    assert targets.soonest_return_s("desk", 0.0) == math.inf
     targets.set_evacuated(NONE)
     assert targets.withheld_count(Cause.LEAVING) == 1
     assert targets.withheld_count(Cause.RETRY_LATER) == 1
@@ -346,6 +401,22 @@
     assert crashes == []
 
 
+def test_a_check_of_the_link_leaves_out_what_is_evacuated_meanwhile(simulation):
+    # Guards against probes of such targets, and against an instance that counts as cut
+    # off because they are stopped.
+    probed = []
+    for id_, pool in simulation.pools.items():
+        pool.probe = lambda on_result, id_=id_: probed.append(id_)
+    simulation.targets._entries["t3"].responded_at = 0.0
+    verdicts = []
+    simulation.targets.reachability.check(verdicts.append)
+    simulation.targets.set_evacuated(frozenset((ELSEWHERE,)))
+    simulation.time.run_until(1.0)
+    assert probed == ["t3"]
+    assert verdicts == [True]
+    assert not simulation.targets.reachability.cut_off
+
+
 def test_delegates_are_not_chosen_for_targets_in_an_evacuated_data_centre():
     # Guards against queries that go to a data centre without usable targets and cross
     # to another one once for each shard.
