Log an evacuation key that names no data centre

Such a key was dropped without a line. It is now logged as event 413, and the test of malformed evacuations names all three keys; before the change it found two of them.

--- a/filbertshelf/platform/store.py
+++ b/filbertshelf/platform/store.py
@@ -185,6 +185,8 @@
         elif key.startswith(TARGET_PREFIX):
             change = _decode_target_change(item, key.removeprefix(TARGET_PREFIX))
             changes[change.id] = change
+        elif key == EVACUATION_PREFIX:
+            _log_ignored(key, item["modRevision"], "it names no data centre")
     directory = DirectoryChange(since, revision, tuple(changes.values()), era)
     evacuated = EvacuationChange(since, revision, tuple(evacuations.values()), era)
     return PlatformUpdate(directory, config, evacuated)
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -265,4 +265,8 @@
     store.put("op/evacuate/", {})
     update = await client.snapshot()
     assert {e.data_centre for e in update.evacuations.entries} == {"a", "b"}
-    assert len({line["key"] for line in log if line["event"] == 413}) == 2
+    assert {line["key"] for line in log if line["event"] == 413} == {
+        "op/evacuate/",
+        "op/evacuate/a",
+        "op/evacuate/b",
+    }
