--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -152,11 +152,16 @@
             decode,
             self.peers,
             self.membership,
-            FeedListener(self.targets.apply_table, self.targets.apply),
+            FeedListener(
+                self.targets.apply_table,
+                self.targets.apply,
+                self.targets.set_evacuated,
+            ),
         )
         self.delegation = Delegation(self.context, self.peers, self._rng)
         self.delegation.own_id = instance.name
         self.delegation.data_centre = instance.data_centre
+        self.delegation.regions = cfg.regions
         self.delegation.members = self.membership.members
         self.delegation.own_cost_us = cfg.shard_cost_us
         self.membership.table.set_shard_cost(cfg.shard_cost_us)
@@ -194,6 +199,11 @@
             "Listed targets that name a rate limit.",
             self.targets.rate_limited_count,
         )
+        gauge(
+            "evacuated_data_centres",
+            "Data centres whose targets get no requests by order of the operator.",
+            lambda: len(self.feed.evacuations.data_centres),
+        )
         for cause in Cause:
             gauge(
                 f"{cause.value}_targets",
@@ -335,6 +345,8 @@
             return
         old, self.cfg = self.cfg, cfg
         self.targets.set_retries(cfg.retries)
+        self.targets.set_regions(cfg.regions)
+        self.delegation.regions = cfg.regions
         self.feed.set_seeds(cfg.instance.peers)
         changed = _changed_fields(old, cfg)
         need_restart = [name for name in changed if name.endswith("listen")]
--- a/filbertshelf/platform/entries.py
+++ b/filbertshelf/platform/entries.py
@@ -71,6 +71,11 @@
     )
 
 
+def check_evacuation(text: bytes) -> None:
+    """Raise `PlatformContentError` if the value of an evacuation is malformed."""
+    _require_object(_parse_json(text), "the evacuation")
+
+
 def _check_unused_fields(doc: dict[str, Any]) -> None:
     """Check fields whose values aren't used, to reject entries of other writers."""
     _string(doc, "version")
@@ -93,6 +98,7 @@
         priority=_optional(item, "priority", _integer, DEFAULT_PRIORITY),
         weighted_services=_decode_weighted_services(item),
         gather=_decode_gather(item) if "gather" in item else None,
+        allowed_regions=frozenset(_optional(item, "allowedRegions", _strings, ())),
     )
 
 
