Limit and avoid targets that say that they are cold

A target that starts, or turns cold at any moment, crashes well above a rate that its service names, and the gateways sent it what a warm target takes.

The entry's cold time and the response header are read, and passed on to peers in a list beside the sequences. Each instance sends a cold target its share of the rate, with the permits of TargetRate under a rule that keeps the sum of all instances within the bound of the settings. Warm targets are preferred, and one that turned warm starts slowly.

--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -194,6 +194,11 @@
             "Listed targets that name a rate limit.",
             self.targets.rate_limited_count,
         )
+        gauge(
+            "cold_targets",
+            "Listed targets that are cold.",
+            self.targets.cold.count,
+        )
         for cause in Cause:
             gauge(
                 f"{cause.value}_targets",
@@ -335,6 +340,7 @@
             return
         old, self.cfg = self.cfg, cfg
         self.targets.set_retries(cfg.retries)
+        self.targets.set_cold_bound(cfg.cold)
         self.feed.set_seeds(cfg.instance.peers)
         changed = _changed_fields(old, cfg)
         need_restart = [name for name in changed if name.endswith("listen")]
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -9,6 +9,7 @@
 
 from filbertshelf import events
 from filbertshelf.clock import Clock
+from filbertshelf.coordination.cold_targets import ColdTargets
 from filbertshelf.coordination.reachability import ReachabilityMonitor
 from filbertshelf.coordination.target_entries import (
     Pool,
@@ -18,9 +19,10 @@
 from filbertshelf.coordination.target_statements import TargetStatements
 from filbertshelf.gateway_settings import Address, GatewaySettings
 from filbertshelf.protocol.target_responses import Classification
+from filbertshelf.state.cold import ColdBound
 from filbertshelf.state.directory import ListedTarget, TargetChange
 from filbertshelf.state.fleet_role import FleetRole
-from filbertshelf.state.fleet_size import UNKNOWN_FLEET_SIZE
+from filbertshelf.state.fleet_size import GROWTH, UNKNOWN_FLEET_SIZE
 from filbertshelf.state.outcome import Reason, Result
 from filbertshelf.state.publication import Target
 from filbertshelf.state.replicas import TargetState
@@ -54,6 +56,10 @@
 """New targets are connected to after a random delay of up to this time, so that the
 instances don't all connect at the same time."""
 
+RARE_SENDER_FACTOR = 4
+"""Instances that leave queries over many shards to others send to their cold targets
+only if those fail; together they get at most the rate divided by this number."""
+
 _RESULTS_BY_END: Mapping[ExchangeEnd, tuple[Result, Reason]] = {
     ExchangeEnd.NOT_CONNECTED: (Result.NOT_RUN, Reason.CONNECT_FAILED),
     ExchangeEnd.NOT_SENT: (Result.NOT_RUN, Reason.NO_CAPACITY),
@@ -91,9 +97,20 @@
         self._call_later = call_later
         self._services: dict[str, ServiceTargets] = {}
         self._entries: dict[str, TargetEntry] = {}
+        self.cold = ColdTargets(
+            self._services, self._entries, cfg.cold, clock, rng, call_later
+        )
         self.statements = TargetStatements(
-            self._entries, clock, rng, call_later, on_limit_ended, on_leaving
+            self._entries,
+            clock,
+            rng,
+            call_later,
+            on_limit_ended,
+            on_leaving,
+            self.cold.record_header,
         )
+        self._has_seeds = bool(cfg.instance.peers)
+        self._has_listing = False
         self._role = UNKNOWN_ROLE
         self.reachability = ReachabilityMonitor(self._choose_probed, clock, call_later)
         self.reachability.on_change.append(self._forget_failed_link)
@@ -106,6 +123,21 @@
         for service in self._services.values():
             service.budget.set_policy(policy)
 
+    def set_cold_bound(self, bound: ColdBound) -> None:
+        """Apply the bound on requests to cold targets of new settings."""
+        self.cold.set_bound(bound)
+
+    def mark_cold(self, data_centre: str) -> None:
+        """Take the targets of a data centre that is used again for cold.
+
+        A statement that a target makes from now on replaces this.
+        """
+        self.cold.mark(
+            entry
+            for entry in self._entries.values()
+            if entry.listed.data_centre == data_centre
+        )
+
     def set_role(self, role: FleetRole) -> None:
         """Divide connections and budgets by the role's numbers of instances."""
         if role == self._role:
@@ -145,6 +177,8 @@
             service.connections = configured.connections
             service.is_shard = configured.name in shard_services
             service.is_single_target = configured.name in single_target_services
+            service.cold_start_s = configured.cold_start_s
+            service.cold_requests_per_s = configured.cold_requests_per_s
             self._apply_limits(service)
             if not warmed_up_before:
                 self._warm_up_all(service)
@@ -156,6 +190,7 @@
                 self.remove(change.id, "the platform no longer lists it")
             else:
                 self._add_or_update(change.target)
+        self._has_listing = True
 
     def remove(self, id_: str, reason: str) -> None:
         """Remove a target; its unfinished exchanges may continue."""
@@ -176,8 +211,9 @@
         self._add(listed)
 
     def _update(self, entry: TargetEntry, listed: ListedTarget) -> None:
-        entry.listed = listed
+        before, entry.listed = entry.listed, listed
         self.statements.apply_listing(entry)
+        self.cold.record_listing(entry, before)
 
     def _add(self, listed: ListedTarget) -> None:
         service = self._service_targets(listed.service)
@@ -193,6 +229,7 @@
         self._apply_limits(service)
         events.emit(events.TARGET_ADDED, target=listed.id, address=address)
         self.statements.apply_listing(entry)
+        self.cold.record_added(entry, is_first_listing=not self._has_listing)
         if self._should_warm_up(service):
             self._warm_up(entry)
 
@@ -238,6 +275,24 @@
         now = self._clock.monotonic()
         for entry in service.entries.values():
             entry.rate.set_instances(instance_count, now)
+        service.cold_instances = self._count_cold_senders(service, instance_count)
+        self.cold.apply_limits(service)
+
+    def _count_cold_senders(self, service: ServiceTargets, instance_count: int) -> int:
+        """Return the divisor of the rate of a service's cold targets.
+
+        A cold target crashes above its rate, so the instances that only rarely send to
+        it count too, and so may those that this instance doesn't see.
+        """
+        role = self._role
+        if service.is_shard and not role.runs_gathers:
+            instance_count = max(instance_count, RARE_SENDER_FACTOR * role.instances)
+        if service.is_single_target:
+            instance_count = max(instance_count, role.instances)
+        if self._has_seeds and role.instances <= math.ceil(GROWTH):
+            # It has seen no other instance, though the settings name some.
+            instance_count = max(instance_count, UNKNOWN_FLEET_SIZE)
+        return instance_count
 
     # Interface for requests.
 
@@ -309,7 +364,7 @@
     ) -> None:
         """Start an exchange with a target; a hedge or a retry is an extra one."""
         entry.running[exchange] = now
-        entry.rate.spend(now, is_extra)
+        entry.spend_permits(now, is_extra)
         entry.state.attempt_started()
         entry.pool.submit(exchange)
 
--- a/filbertshelf/coordination/target_entries.py
+++ b/filbertshelf/coordination/target_entries.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from filbertshelf.state.cold import ColdState
 from filbertshelf.state.directory import ListedTarget
 from filbertshelf.state.replicas import TargetState
 from filbertshelf.state.retry_window import RetryWindow
@@ -69,6 +70,16 @@
     """When its withholding was last logged, in monotonic seconds."""
     header_logged_at: float = float("-inf")
     """When a malformed header of the target was last logged, in monotonic seconds."""
+    cold: ColdState | None = None
+    """Until when the target is cold, None for most targets."""
+    cold_rate: TargetRate | None = None
+    """The permits while it is cold, None if its service has no rate for that."""
+    cold_check_at: float = float("-inf")
+    """When its cold state is applied again, in monotonic seconds."""
+    cold_logged_at: float = float("-inf")
+    """When it was last logged as cold, in monotonic seconds."""
+    logged_as_cold: bool = False
+    """Whether the last log line about it says that it is cold."""
 
     @property
     def id(self) -> str:
@@ -98,8 +109,23 @@
         """Return whether the target's own statements allow a new request now."""
         if self.withholding is not None and self.is_withheld(now):
             return False
+        if self.cold_rate is not None and not self._allows_cold(now):
+            return False
         return self.rate.allows(now)
 
+    def _allows_cold(self, now: float) -> bool:
+        """Return whether the rate of a cold target allows a request now.
+
+        Requests that wait for a connection would later reach the target all at once.
+        """
+        return self.cold_rate.allows(now) and self.pool.has_room()
+
+    def spend_permits(self, now: float, is_extra: bool) -> None:
+        """Use the permits for a request that is sent now."""
+        self.rate.spend(now, is_extra)
+        if self.cold_rate is not None:
+            self.cold_rate.spend(now, is_extra)
+
     def refreshed_candidate(self) -> Candidate:
         """Return the candidate, updated with the current state of the connections."""
         self.candidate.can_connect = self.pool.has_room()
@@ -118,4 +144,8 @@
     """Whether queries over many shards use the service."""
     is_single_target: bool = False
     """Whether requests to a single target use the service."""
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
+    cold_instances: int = 1
+    """The highest number of instances that may send to its cold targets."""
     entries: dict[str, TargetEntry] = attrs.field(factory=dict)
--- a/filbertshelf/coordination/target_statements.py
+++ b/filbertshelf/coordination/target_statements.py
@@ -13,6 +13,7 @@
 from filbertshelf.errors import MessageError
 from filbertshelf.protocol.target_responses import (
     TargetStatement,
+    parse_cold_remaining,
     parse_leaving,
     parse_rate_limit,
     parse_retry_after,
@@ -51,6 +52,7 @@
         call_later: Callable[[float, Callable[[], None]], object],
         on_limit_ended: Callable[[str], None],
         on_leaving: Callable[[LeavingTarget], None],
+        on_cold: Callable[[TargetEntry, float, float], None],
     ):
         """Create for the listed targets; `ListedTargets` describes the parameters."""
         self._entries = entries
@@ -59,6 +61,7 @@
         self._call_later = call_later
         self._on_limit_ended = on_limit_ended
         self._on_leaving = on_leaving
+        self._on_cold = on_cold
         self._leaving: collections.OrderedDict[LeavingTarget, Withholding] = (
             collections.OrderedDict()
         )
@@ -70,6 +73,8 @@
         self, entry: TargetEntry, statement: TargetStatement, now: float
     ) -> None:
         """Record what a target says of itself in the head of a response."""
+        if statement.cold_remaining_ms is not None:
+            self._record_cold(entry, statement.cold_remaining_ms, now)
         try:
             if statement.leaving is not None and parse_leaving(statement.leaving):
                 self._record_leaving(entry)
@@ -80,6 +85,14 @@
         except MessageError as exc:
             self._log_header(entry, str(exc), now)
 
+    def _record_cold(self, entry: TargetEntry, value: bytes, now: float) -> None:
+        try:
+            seconds = parse_cold_remaining(value)
+        except MessageError as exc:
+            self._log_header(entry, str(exc), now)
+        else:
+            self._on_cold(entry, seconds, now)
+
     def _record_leaving(self, entry: TargetEntry) -> None:
         target = LeavingTarget.of(entry.listed)
         known = self._leaving.get(target)
--- a/filbertshelf/events/targets.py
+++ b/filbertshelf/events/targets.py
@@ -109,3 +109,23 @@
     "reason",
     level=Level.WARNING,
 )
+
+TARGET_COLD = define(
+    315,
+    "target-cold",
+    "A target is cold for some seconds: warm ones are preferred, and this instance "
+    "sends it at most `share_per_s` requests a second (0: no limit).",
+    "target",
+    "service",
+    "source",
+    "seconds",
+    "share_per_s",
+)
+
+TARGET_WARM = define(
+    316,
+    "target-warm",
+    "A target is no longer cold; its load rises over some seconds.",
+    "target",
+    "service",
+)
--- a/filbertshelf/gateway_settings.py
+++ b/filbertshelf/gateway_settings.py
@@ -6,6 +6,7 @@
 
 from filbertshelf.addresses import Address
 from filbertshelf.settings import Settings
+from filbertshelf.state.cold import ColdBound
 from filbertshelf.state.retry_window import RetryPolicy
 
 STOP_SERVE_S = 2.6
@@ -26,6 +27,8 @@
     """The listen address for metrics, None to serve none."""
     retries: RetryPolicy
     """The retry budget of each service across the whole fleet."""
+    cold: ColdBound = attrs.field(factory=ColdBound)
+    """How far the whole fleet may exceed the rate of a cold target."""
     shard_cost_us: int = 0
     """Microseconds that this machine needs for one shard of a query; 0 if unknown."""
     stop_grace_s: float
--- a/filbertshelf/platform/constants.py
+++ b/filbertshelf/platform/constants.py
@@ -14,6 +14,7 @@
     missing_parts=b"Missing-Parts",
     rate_limit=b"Server-Limit",
     leaving=b"Server-Leaving",
+    cold_remaining_ms=b"Cold-Remaining-Ms",
 )
 
 SETTINGS_VARIABLE = "FILBERTSHELF_SETTINGS"
--- a/filbertshelf/platform/entries.py
+++ b/filbertshelf/platform/entries.py
@@ -68,13 +68,13 @@
         # Missing on platforms where a target never restarts under the same id.
         _optional(doc, "born", _integer, 0),
         _integer(doc, "seq"),
+        _number(doc, "coldRemainingMs") / 1000,
     )
 
 
 def _check_unused_fields(doc: dict[str, Any]) -> None:
     """Check fields whose values aren't used, to reject entries of other writers."""
     _string(doc, "version")
-    _number(doc, "coldRemainingMs")
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
@@ -118,6 +118,8 @@
         _string(item, "name"),
         _optional(item, "healthPath", _string, ""),
         _integer(item, "maxConns"),
+        _optional(item, "coldStartS", _number, 0.0),
+        _optional(item, "coldPerS", _number, 0.0),
     )
 
 
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -13,6 +13,7 @@
 from filbertshelf.json_values import is_number, shown
 from filbertshelf.platform.constants import METRICS_PORT
 from filbertshelf.settings import Settings
+from filbertshelf.state.cold import ColdBound
 from filbertshelf.state.delegation import shard_cost_us
 from filbertshelf.state.retry_window import RetryPolicy
 
@@ -73,6 +74,11 @@
         reader.number("bounds", "budgetMinRetries"),
         reader.number("bounds", "budgetWindowS"),
     )
+    default_cold = ColdBound()
+    cold = ColdBound(
+        reader.number("bounds", "coldOverage", default=default_cold.overage),
+        reader.number("bounds", "coldSlack", default=default_cold.slack),
+    )
     cores = reader.number("limits", "cpuShare") * reader.number("limits", "cores")
     link_mbps = reader.number("limits", "linkMbps")
     host = reader.text("ip")
@@ -94,6 +100,7 @@
         ready_listen=ready,
         metrics_listen=(host, METRICS_PORT),
         retries=retries,
+        cold=cold,
         shard_cost_us=shard_cost_us(cores, link_mbps) if cores and link_mbps else 0,
         stop_grace_s=grace,
     )
@@ -115,8 +122,11 @@
         )
         return ""
 
-    def number(self, *path: str) -> float:
+    def number(self, *path: str, default: float | None = None) -> float:
+        """Return a number; a missing one is a problem unless it has a default."""
         value = self._find(path)
+        if value is None and default is not None:
+            return default
         if is_number(value):
             return float(value)
         self._add_problem(
--- a/filbertshelf/protocol/feed.py
+++ b/filbertshelf/protocol/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import zlib
 from collections.abc import Iterable
 from typing import Any
@@ -14,6 +15,7 @@
 from filbertshelf.errors import MessageError
 from filbertshelf.json_values import is_integer
 from filbertshelf.protocol.messages import message
+from filbertshelf.state.cold import MAX_COLD_S
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 
@@ -24,6 +26,9 @@
 UNKNOWN_ERA = 0
 """The era in a message of an older build, and before the platform's first answer."""
 
+UNKNOWN_COLD_MS = -1
+"""The cold time of a target of which no statement is known."""
+
 
 @attrs.frozen
 class HeldConfig:
@@ -56,7 +61,8 @@
     to the peers at `forward_to`. `era` counts the restores of the platform.
     `config_version` is the operator's version of the sender's configuration, which
     unlike the revision grows across restores; it is 0 if there is none or the sender is
-    an older build. `sequences` belong to the rows of `targets`, 0 for a removed one.
+    an older build. `sequences` belong to the rows of `targets`, 0 for a removed one; so
+    does `cold_ms`, how long each target was still cold, `UNKNOWN_COLD_MS` if not known.
     """
 
     since: int
@@ -70,6 +76,7 @@
     era: int = UNKNOWN_ERA
     config_version: int = 0
     sequences: tuple[int, ...] = ()
+    cold_ms: tuple[int, ...] = ()
 
     @classmethod
     def of(
@@ -88,17 +95,24 @@
             era=directory.era,
             config_version=held.version,
             sequences=tuple(_sequence(change) for change in directory.targets),
+            cold_ms=tuple(_cold_ms(change) for change in directory.targets),
         )
 
     @property
     def size(self) -> int:
         """Return the size of the message in bytes, apart from some dozens."""
-        return len(self.targets) + len(self.config) + len(self.sequences)
+        rows = len(self.sequences) + len(self.cold_ms)
+        return len(self.targets) + len(self.config) + rows
 
     def announcement(self) -> FeedUpdate:
         """Return the message without its content, which a receiver can request."""
         return attrs.evolve(
-            self, since=self.revision, targets=b"", config=b"", sequences=()
+            self,
+            since=self.revision,
+            targets=b"",
+            config=b"",
+            sequences=(),
+            cold_ms=(),
         )
 
     @property
@@ -111,6 +125,8 @@
         changes = _unpack_targets(self.targets)
         if len(self.sequences) == len(changes):
             changes = tuple(map(_with_sequence, changes, self.sequences))
+        if len(self.cold_ms) == len(changes):
+            changes = tuple(map(_with_cold, changes, self.cold_ms))
         directory = DirectoryChange(self.since, self.revision, changes, self.era)
         config = None
         if self.config:
@@ -168,6 +184,19 @@
     return attrs.evolve(change, target=attrs.evolve(change.target, sequence=sequence))
 
 
+def _cold_ms(change: TargetChange) -> int:
+    if change.target is None or change.target.cold_s is None:
+        return UNKNOWN_COLD_MS
+    return math.ceil(1000 * min(change.target.cold_s, MAX_COLD_S))
+
+
+def _with_cold(change: TargetChange, cold_ms: int) -> TargetChange:
+    if change.target is None or cold_ms < 0:
+        return change
+    cold_s = min(cold_ms, round(1000 * MAX_COLD_S)) / 1000
+    return attrs.evolve(change, target=attrs.evolve(change.target, cold_s=cold_s))
+
+
 def _unpack_targets(data: bytes) -> tuple[TargetChange, ...]:
     if not data:
         return ()
--- a/filbertshelf/protocol/target_responses.py
+++ b/filbertshelf/protocol/target_responses.py
@@ -41,6 +41,8 @@
     """Present with the value 1 in all responses of a target that leaves."""
     retry_after: bytes = b"Retry-After"
     """The seconds after which a target that refused may be sent requests again."""
+    cold_remaining_ms: bytes = b""
+    """The milliseconds for which a target is still cold; empty if targets send none."""
 
     def names_set_by_instance(self) -> frozenset[bytes]:
         """Return the lower-case names of the headers that an instance sets itself."""
@@ -79,6 +81,7 @@
     leaving: bytes | None = None
     retry_after: bytes | None = None
     """How long it wants no requests; only if it refuses one."""
+    cold_remaining_ms: bytes | None = None
 
 
 @attrs.frozen
@@ -110,7 +113,9 @@
         self._rate_limit = names.rate_limit.lower()
         self._leaving = names.leaving.lower()
         self._retry_after = names.retry_after.lower()
-        self.statement_fields = frozenset((self._leaving, self._retry_after))
+        self._cold_remaining_ms = names.cold_remaining_ms.lower()
+        statement_names = (self._leaving, self._retry_after, self._cold_remaining_ms)
+        self.statement_fields = frozenset(filter(None, statement_names))
         """The lower-case names of the headers in which targets speak of themselves."""
 
     def read_statement(
@@ -127,7 +132,8 @@
         retry_after = None
         if status in _REFUSED_STATUSES:
             retry_after = values.get(self._retry_after)
-        return TargetStatement(leaving, retry_after)
+        cold_remaining_ms = values.get(self._cold_remaining_ms)
+        return TargetStatement(leaving, retry_after, cold_remaining_ms)
 
     def classify(
         self, status: int, fields: list[HeaderField], request_id: bytes
@@ -221,6 +227,17 @@
     return seconds
 
 
+def parse_cold_remaining(value: bytes) -> float:
+    """Return the seconds for which a target is still cold; raises `MessageError`."""
+    try:
+        milliseconds = float(value)
+    except ValueError as exc:
+        raise MessageError(f"the cold time {value!r:.80} is no number") from exc
+    if not 0.0 <= milliseconds < math.inf:
+        raise MessageError(f"the cold time {value!r:.80} is out of range")
+    return milliseconds / 1000
+
+
 def error_response(status: int, retry_after_s: float | None = None) -> Response:
     """Return a response without a body that this instance makes itself."""
     if retry_after_s is None:
--- a/filbertshelf/state/directory.py
+++ b/filbertshelf/state/directory.py
@@ -26,11 +26,27 @@
     """The wall-clock time of its start in ms, which changes when it restarts."""
     sequence: int = attrs.field(default=0, eq=False)
     """Counts what the process has written of itself; a higher one is newer."""
+    cold_s: float | None = attrs.field(default=None, eq=False)
+    """How long the process was still cold when it wrote this, None if not known."""
 
     def is_older_than(self, other: ListedTarget) -> bool:
         """Return whether the target wrote this before `other`, under the same id."""
         return (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
 
+    def differs_from(self, other: ListedTarget) -> bool:
+        """Return whether instances that know `other` must be told of this target.
+
+        The time for which a target is cold counts down each time it writes. It is news
+        only if the target turns cold or warm, or cold for longer.
+        """
+        if self != other:
+            return True
+        if self.cold_s is None:
+            return False
+        if other.cold_s is None or not self.cold_s:
+            return self.cold_s != other.cold_s
+        return self.cold_s > other.cold_s
+
 
 @attrs.frozen
 class TargetChange:
@@ -134,9 +150,9 @@
             return False
         if entry.target is None:
             return self._remove(entry.id, entry.revision)
-        if current is not None and current.target == entry.target:
-            # Nothing but the sequence changed. The entry keeps its revision, so that it
-            # isn't sent to peers again.
+        if current is not None and not entry.target.differs_from(current.target):
+            # Nothing but the sequence and the countdown of the cold time changed. The
+            # entry keeps its revision, so that it isn't sent to peers again.
             self._entries[entry.id] = attrs.evolve(current, target=entry.target)
             return False
         self._removed.pop(entry.id, None)
@@ -197,7 +213,7 @@
         if current is not None and entry.target.is_older_than(current.target):
             entry = attrs.evolve(entry, target=current.target)
         self._entries[entry.id] = entry
-        return current is None or current.target != entry.target
+        return current is None or entry.target.differs_from(current.target)
 
 
 def _is_newer(target: ListedTarget, known: ListedTarget | None) -> bool:
--- a/filbertshelf/state/routing.py
+++ b/filbertshelf/state/routing.py
@@ -34,6 +34,10 @@
     health_path: str
     connections: int
     """How many connections one target accepts from all instances together."""
+    cold_start_s: float = 0.0
+    """How long a target is cold after it starts; 0 if it never is."""
+    cold_requests_per_s: float = 0.0
+    """The requests a second that a cold target takes; 0 for no limit."""
 
 
 @attrs.frozen
--- a/filbertshelf/state/selection.py
+++ b/filbertshelf/state/selection.py
@@ -36,6 +36,8 @@
     """The time of the oldest running sub-request's start, in monotonic seconds."""
     can_connect: bool = True
     """Whether a connection to the target is idle or can be opened."""
+    cost_factor: float = 1.0
+    """The factor by which a cold target counts as costlier."""
 
     def waiting_s(self, now: float) -> float:
         """Return the age of the oldest running sub-request in seconds, 0.0 if none."""
@@ -90,4 +92,5 @@
 ) -> float:
     distance = 1.0 if candidate.local else REMOTE_FACTOR
     jitter = 1.0 + JITTER * rng.random()
-    return candidate.expected_s(now, default_s) * distance * jitter
+    expected_s = candidate.expected_s(now, default_s)
+    return expected_s * distance * candidate.cost_factor * jitter
--- a/filbertshelf/state/target_rate.py
+++ b/filbertshelf/state/target_rate.py
@@ -45,11 +45,13 @@
         "_extra",
         "_instances",
         "_interval_s",
+        "_keeps_one",
         "_limit_per_s",
         "_logged_at",
         "_logged_limit",
         "_malformed_logged_at",
         "_next_permit_at",
+        "_permit_lifetime_s",
         "_rng",
         "_sent",
     )
@@ -59,6 +61,8 @@
         self._limit_per_s: float | None = None
         self._instances = 1
         self._interval_s = 0.0
+        self._permit_lifetime_s = PERMIT_LIFETIME_S
+        self._keeps_one = False
         self._next_permit_at = now
         self._logged_limit: float | None = None
         self._logged_at = now
@@ -83,6 +87,15 @@
             self._instances = instances
             self._reschedule(now)
 
+    def set_permit_rule(self, lifetime_s: float, keeps_one: bool) -> None:
+        """Set how long a permit can be used, and whether the last one never expires.
+
+        Permits that never expire are closer together than the interval only by
+        `lifetime_s`, but those of all instances may be used at the same moment.
+        """
+        self._permit_lifetime_s = lifetime_s
+        self._keeps_one = keeps_one
+
     def allows(self, now: float) -> bool:
         """Return whether a sub-request may be sent now."""
         if not self._interval_s:
@@ -133,8 +146,12 @@
 
     def _drop_expired(self, now: float) -> None:
         """Skip the permits that were not used in time."""
-        expired_s = now - PERMIT_LIFETIME_S - self._next_permit_at
-        if expired_s > 0:
+        expired_s = now - self._permit_lifetime_s - self._next_permit_at
+        if expired_s <= 0:
+            return
+        if self._keeps_one:
+            self._next_permit_at += expired_s
+        else:
             self._next_permit_at += (
                 math.ceil(expired_s / self._interval_s) * self._interval_s
             )
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from filbertshelf.addresses import Address
 from filbertshelf.coordination.forward import Forward
 from filbertshelf.coordination.gather import Gather
 from filbertshelf.coordination.listed_targets import ListedTargets
@@ -52,6 +53,7 @@
     b"Missing",
     b"Limit",
     b"Leaving",
+    cold_remaining_ms=b"Cold-Ms",
 )
 HERE = "here"
 ELSEWHERE = "elsewhere"
@@ -133,6 +135,8 @@
     """The value of the header in which it says that it leaves."""
     retry_after: bytes | None = None
     """The pause that it asks for when it refuses."""
+    cold_ms: bytes | None = None
+    """The value of the header in which it says how long it is still cold."""
     arrivals: list[float] = attrs.field(factory=list)
     request_ids: list[bytes] = attrs.field(factory=list)
     deadlines_ms: list[int] = attrs.field(factory=list)
@@ -206,6 +210,8 @@
         fields = list(fields)
         if self.leaving is not None:
             fields.append((b"Leaving", self.leaving))
+        if self.cold_ms is not None:
+            fields.append((b"Cold-Ms", self.cold_ms))
         if status == 503 and self.retry_after is not None:
             fields.append((b"Retry-After", self.retry_after))
 
@@ -353,6 +359,7 @@
         role: FleetRole | None = None,
         time: VirtualTime | None = None,
         seed: int = 7,
+        seeds: tuple[Address, ...] = (),
     ):
         """Create a gateway; one that belongs to a fleet shares the `time` of all."""
         self.time = time or VirtualTime(early_s)
@@ -372,6 +379,7 @@
                 data_centre=HERE,
                 fleet_key="a key for tests only",
                 platform=("127.0.0.1", 1),
+                peers=seeds,
             ),
             listen=("127.0.0.1", 0),
             ready_listen=("127.0.0.1", 0),
@@ -410,14 +418,27 @@
         self.list_leaf(leaf, data_centre)
         return leaf
 
-    def list_leaf(self, leaf: Leaf, data_centre: str = HERE) -> None:
+    def list_leaf(
+        self,
+        leaf: Leaf,
+        data_centre: str = HERE,
+        cold_s: float | None = None,
+        started_ms: int = 0,
+    ) -> None:
         """List a leaf, which may belong to another simulation of the same fleet."""
         number = len(self.leafs) + 1
         self.leafs[leaf.id] = leaf
         self._ports[number] = leaf
         address = ("10.0.0.1", number)
         listed = ListedTarget(
-            leaf.id, leaf.service, address, data_centre, leaf.slots, False, 0
+            leaf.id,
+            leaf.service,
+            address,
+            data_centre,
+            leaf.slots,
+            False,
+            started_ms,
+            cold_s=cold_s,
         )
         self.targets.apply([TargetChange(leaf.id, number, listed)])
 
