Spread the permits for cold targets over the fleet; document cold targets

Permits at random moments of the interval let 40 instances that all had demand send 23 requests in a second to a target that takes 10, where 20 were allowed. Each instance now has a slot by its rank among the live instances and the wall clock.

--- a/filbertshelf/coordination/cold_targets.py
+++ b/filbertshelf/coordination/cold_targets.py
@@ -18,7 +18,7 @@
     presumed_state,
 )
 from filbertshelf.state.directory import ListedTarget
-from filbertshelf.state.target_rate import TargetRate
+from filbertshelf.state.target_rate import Slot, TargetRate
 
 SLOW_START_STEP_S = 0.5
 """Interval at which the cost factor of a target that turned warm is lowered."""
@@ -46,6 +46,7 @@
         self._clock = clock
         self._rng = rng
         self._call_later = call_later
+        self._rank: int | None = None
 
     # What is known of targets.
 
@@ -110,9 +111,18 @@
     def set_bound(self, bound: ColdBound) -> None:
         """Apply the bound of new settings."""
         self._bound = bound
+        self._apply_all_limits()
+
+    def _apply_all_limits(self) -> None:
         for service in self._services.values():
             self.apply_limits(service)
 
+    def set_rank(self, rank: int) -> None:
+        """Set the place of this instance in the order of the live ones' names."""
+        if rank != self._rank:
+            self._rank = rank
+            self._apply_all_limits()
+
     def apply_limits(self, service: ServiceTargets) -> None:
         """Apply changed limits of a service or a changed number of instances."""
         now = self._clock.monotonic()
@@ -147,6 +157,12 @@
                 entry.cold_rate = TargetRate(now, self._rng)
             rule = permit_rule(rate_per_s, service.cold_instances, self._bound)
             entry.cold_rate.set_permit_rule(rule.lifetime_s, rule.keeps_one)
+            if self._rank is not None:
+                # Wall clocks differ by milliseconds; with larger differences the
+                # permits lie as if at random.
+                epoch = now - self._clock.now().timestamp()
+                slot = Slot.choose(epoch, self._rank, entry.id)
+                entry.cold_rate.set_slot(slot, now)
             entry.cold_rate.set_instances(service.cold_instances, now)
             entry.cold_rate.set_limit(rate_per_s, now)
             if is_new:
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -294,6 +294,10 @@
         self.delegation.delegates = delegates
         self.delegation.full_mesh = full_mesh
         self.targets.set_role(FleetRole.choose(fleet, delegates, full_mesh))
+        own_id = self.cfg.instance.name
+        self.targets.set_rank(
+            sum(member.id < own_id for member in self.membership.members())
+        )
         if fleet.known:
             self.delegation.keep_connected()
 
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -127,6 +127,10 @@
         """Apply the bound on requests to cold targets of new settings."""
         self.cold.set_bound(bound)
 
+    def set_rank(self, rank: int) -> None:
+        """Apply the place of this instance in the order of the live ones' names."""
+        self.cold.set_rank(rank)
+
     def mark_cold(self, data_centre: str) -> None:
         """Take the targets of a data centre that is used again for cold.
 
--- a/filbertshelf/state/cold.py
+++ b/filbertshelf/state/cold.py
@@ -29,9 +29,9 @@
 requests that arrive closer together than they were sent."""
 
 SPREAD_SHARE = 0.25
-"""The share of the burst allowance that unused permits may use on average if it is less
-than one request for each instance, so that the instances whose permits happen to be
-valid at the same time stay within the whole."""
+"""The share of the burst allowance that unused permits use on average if it is less
+than one request for each instance. Where the instances' slots lie at random, several
+times as many permits may be valid at the same moment."""
 
 
 class Source(enum.Enum):
@@ -178,7 +178,7 @@
     The worst case is that all instances use all their valid permits at the same moment,
     such as when the only warm target fails. If the allowance has a request for each
     instance, each may keep a permit. If not, permits expire after a short time, and the
-    random phases of the instances keep the number of those that are valid small.
+    slots of the instances keep the number of those that are valid small.
     """
     allowance = bound.burst_allowance(rate_per_s)
     interval_s = instances / rate_per_s
--- a/filbertshelf/state/target_rate.py
+++ b/filbertshelf/state/target_rate.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import zlib
 
 import attrs
 
@@ -13,6 +14,11 @@
 PERMIT_LIFETIME_S = 2.0
 """How long a permit can be used; older ones would add up to bursts in a large fleet."""
 
+GOLDEN_RATIO = 0.6180339887498949
+
+MAX_EPOCH_DRIFT_S = 0.05
+"""Smaller changes of the wall clock don't move the permits."""
+
 LINE_INTERVAL_S = 1.0
 """The shortest interval between two log lines about a target's rate limit."""
 
@@ -32,6 +38,39 @@
     elapsed_s: float
 
 
+@attrs.frozen
+class Slot:
+    """Where the permits of one instance lie in the interval between two of them.
+
+    `epoch` is a moment that all instances agree on, in monotonic seconds, and `phase`
+    the part of the interval, 0 to 1, after which the first permit follows it.
+    """
+
+    epoch: float
+    phase: float
+
+    @classmethod
+    def choose(cls, epoch: float, rank: int, target_id: str) -> Slot:
+        """Return the slot for a target of the instance with a rank in the fleet.
+
+        Multiples of the golden ratio, modulo 1, are spread evenly whatever the number
+        of instances. The targets are shifted, so that an instance doesn't get the
+        permits for all of them at the same moment.
+        """
+        shift = zlib.crc32(target_id.encode()) / 2**32
+        return cls(epoch, (rank * GOLDEN_RATIO + shift) % 1.0)
+
+    def next_at(self, now: float, interval_s: float) -> float:
+        """Return the time of the next permit."""
+        return now + (self.epoch + self.phase * interval_s - now) % interval_s
+
+    def differs_from(self, other: Slot | None) -> bool:
+        """Return whether the permits lie elsewhere, apart from small clock changes."""
+        if other is None or self.phase != other.phase:
+            return True
+        return abs(self.epoch - other.epoch) > MAX_EPOCH_DRIFT_S
+
+
 class TargetRate:
     """Permits for sub-requests to one target; times are monotonic seconds.
 
@@ -54,6 +93,7 @@
         "_permit_lifetime_s",
         "_rng",
         "_sent",
+        "_slot",
     )
 
     def __init__(self, now: float, rng: random.Random):
@@ -63,6 +103,7 @@
         self._interval_s = 0.0
         self._permit_lifetime_s = PERMIT_LIFETIME_S
         self._keeps_one = False
+        self._slot: Slot | None = None
         self._next_permit_at = now
         self._logged_limit: float | None = None
         self._logged_at = now
@@ -96,6 +137,13 @@
         self._permit_lifetime_s = lifetime_s
         self._keeps_one = keeps_one
 
+    def set_slot(self, slot: Slot, now: float) -> None:
+        """Set where the permits lie in the interval, instead of at random."""
+        if slot.differs_from(self._slot):
+            self._slot = slot
+            if self._interval_s:
+                self._next_permit_at = slot.next_at(now, self._interval_s)
+
     def allows(self, now: float) -> bool:
         """Return whether a sub-request may be sent now."""
         if not self._interval_s:
@@ -138,6 +186,9 @@
             self._interval_s = 0.0
             return
         self._interval_s = self._instances / max(MIN_LIMIT_PER_S, self._limit_per_s)
+        if self._slot is not None:
+            self._next_permit_at = self._slot.next_at(now, self._interval_s)
+            return
         if before_s:
             wait_s = (self._next_permit_at - now) * self._interval_s / before_s
         else:
--- a/test/coordination/test_feed.py
+++ b/test/coordination/test_feed.py
@@ -37,6 +37,15 @@
         assert set(feed.directory.targets()) == {"t2"}
 
 
+async def test_a_target_that_turns_cold_is_known_to_all_within_two_seconds(fleet):
+    # Guards against peers that are told of a cold target only with its next change.
+    for cold_s in (20.0, 0.0):
+        fleet.platform.put("t1", sequence=2, cold_s=cold_s)
+        await fleet.run(2.0)
+        listed = [feed.directory.targets()["t1"] for feed in fleet.feeds.values()]
+        assert {target.cold_s for target in listed} == {cold_s}
+
+
 @pytest.mark.parametrize("refused_instances", [{"n0"}, {"n0", "n1", "n2", "n3"}])
 async def test_instances_that_the_platform_refuses_are_updated_by_peers(
     fleet, refused_instances
--- a/test/platform/test_entries.py
+++ b/test/platform/test_entries.py
@@ -64,6 +64,29 @@
     assert target.started_ms == 1768766353410
 
 
+def test_the_cold_time_of_an_entry_is_decoded():
+    target = decode_target("i-1", encode({**ENTRY, "coldRemainingMs": 2500}))
+    assert target.cold_s == 2.5
+
+
+def test_the_cold_start_and_rate_of_a_service_are_optional():
+    # Guards against a limit where the configuration names none.
+    service = decode_route_table(encode(CONFIG)).services["a"]
+    assert (service.cold_start_s, service.cold_requests_per_s) == (0.0, 0.0)
+    named = {**CONFIG["services"][0], "coldStartS": 20, "coldPerS": 4.5}
+    service = decode_route_table(encode({**CONFIG, "services": [named]})).services["a"]
+    assert (service.cold_start_s, service.cold_requests_per_s) == (20.0, 4.5)
+
+
+@pytest.mark.parametrize("name", ["coldStartS", "coldPerS"])
+@pytest.mark.parametrize("value", ["4", -1, True, []])
+def test_a_malformed_cold_start_or_rate_is_refused(name, value):
+    # Guards against a configuration in force whose cold targets have no limit.
+    service = {**CONFIG["services"][0], name: value}
+    with pytest.raises(PlatformContentError):
+        decode_route_table(encode({**CONFIG, "services": [service]}))
+
+
 @pytest.mark.parametrize("name", ["service", "address", "zone", "state"])
 @pytest.mark.parametrize("value", [None, 7, "", [], {"a": 1}])
 def test_an_entry_with_a_malformed_field_is_refused(name, value):
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -53,6 +53,20 @@
     assert cfg.shard_cost_us == 400
 
 
+def test_the_bound_on_cold_targets_is_optional():
+    # Guards against an earlier deployment whose settings are refused.
+    cold = parse_gateway_settings(settings()).cold
+    assert (cold.overage, cold.slack) == (1.5, 5.0)
+    doc = settings()
+    doc["bounds"] |= {"coldOverage": 1.2, "coldSlack": 3}
+    cold = parse_gateway_settings(doc).cold
+    assert (cold.overage, cold.slack) == (1.2, 3.0)
+    doc["bounds"]["coldSlack"] = "3"
+    with pytest.raises(SettingsError) as caught:
+        parse_gateway_settings(doc)
+    assert [problem.where for problem in caught.value.problems] == ["bounds.coldSlack"]
+
+
 def test_all_problems_are_reported_together():
     doc = settings()
     del doc["node"]
--- a/test/protocol/test_feed.py
+++ b/test/protocol/test_feed.py
@@ -12,6 +12,7 @@
 from filbertshelf.protocol import feed as module
 from filbertshelf.protocol.feed import FeedUpdate, HeldConfig
 from filbertshelf.protocol.messages import decode, encode
+from filbertshelf.state.cold import MAX_COLD_S
 from filbertshelf.state.directory import DirectoryChange, ListedTarget, TargetChange
 from filbertshelf.state.platform_update import ConfigText, PlatformUpdate
 
@@ -69,6 +70,38 @@
     assert newer.message == older
 
 
+def cold_change(number: int, cold_s: float | None) -> TargetChange:
+    """Return a listed target that is cold for some seconds."""
+    listed = change(number)
+    return attrs.evolve(listed, target=attrs.evolve(listed.target, cold_s=cold_s))
+
+
+def test_the_cold_times_survive_a_round_trip_and_older_builds_send_none():
+    # Guards against peers that take a cold target for warm, and against a message of
+    # an older build that is refused.
+    changes = (
+        cold_change(1, 2.5),
+        TargetChange("i-2", 820, None),
+        cold_change(3, 0.0),
+        cold_change(4, None),
+        cold_change(5, 1e300),
+    )
+    kind, correlation, name, body = cbor2.loads(encode(update_message(*changes)))
+
+    def cold_times() -> list[float | None]:
+        msg = decode(cbor2.dumps([kind, correlation, name, body])).message
+        targets = [change.target for change in msg.update().directory.targets]
+        return [target and target.cold_s for target in targets]
+
+    assert cold_times() == [2.5, None, 0.0, None, MAX_COLD_S]
+    body["cold_ms"] = [10**400, -7, 0, 0, 0]
+    assert cold_times() == [MAX_COLD_S, None, 0.0, 0.0, 0.0]
+    body["cold_ms"] = [1, 2]
+    assert cold_times() == [None] * 5
+    del body["cold_ms"]
+    assert cold_times() == [None] * 5
+
+
 def test_an_update_with_hundreds_of_targets_is_small():
     # Guards against 53 KB for each of 94 peers when 405 targets are listed at the
     # same time; that was 242 MB in all on scale-2 of the grown hhgq-shelf.
--- a/test/state/test_directory.py
+++ b/test/state/test_directory.py
@@ -4,6 +4,8 @@
 
 import random
 
+import attrs
+
 from filbertshelf.state import directory as module
 from filbertshelf.state.directory import (
     DirectoryChange,
@@ -172,3 +174,36 @@
     directory.apply(DirectoryChange(5, 6, (removed("a", 6),), era=2))
     assert directory.apply(restored(3, stated("a", 2, 1), era=3)) == []
     assert directory.targets() == {}
+
+
+def cold(id_: str, revision: int, cold_s: float | None, sequence: int) -> TargetChange:
+    change = put(id_, revision)
+    target = attrs.evolve(change.target, cold_s=cold_s, sequence=sequence)
+    return attrs.evolve(change, target=target)
+
+
+def test_a_target_that_turns_cold_or_warm_is_a_change_and_its_countdown_is_none():
+    # Guards against peers that don't hear of a cold target, and against an update to
+    # all peers each time that a cold target writes.
+    directory = directory_with(cold("a", 5, 0.0, 1))
+    news = []
+    for revision, cold_s in enumerate((0.0, 20.0, 18.0, 16.0, 20.0, 4.0, 0.0, 0.0), 11):
+        change = cold("a", revision, cold_s, revision)
+        since = directory.revision
+        if directory.apply(DirectoryChange(since, revision, (change,))):
+            news.append((revision, cold_s))
+            assert directory.changes_since(since).targets == (change,)
+        assert directory.targets()["a"].cold_s == cold_s
+    assert news == [(12, 20.0), (15, 20.0), (17, 0.0)]
+
+
+def test_an_update_of_an_older_build_without_cold_times_is_no_change():
+    directory = directory_with(cold("a", 5, 20.0, 1))
+    assert directory.apply(DirectoryChange(10, 11, (cold("a", 11, None, 2),))) == []
+
+
+def test_a_restored_content_in_which_a_target_is_cold_is_a_change():
+    # Guards against a target that turned cold while the store was restored.
+    directory = directory_with(cold("a", 5, 0.0, 1))
+    (change,) = directory.apply(restored(4, cold("a", 2, 9.0, 2)))
+    assert change.target.cold_s == 9.0
