--- a/filbertshelf/coordination/cold_targets.py
+++ b/filbertshelf/coordination/cold_targets.py
@@ -79,7 +79,9 @@
 
     def record_header(self, entry: TargetEntry, seconds: float, now: float) -> None:
         """Record for how long a target is cold as it says in a response."""
-        self._record(entry, seconds, Source.HEADER, now)
+        # A late response may come from a target that is no longer listed.
+        if self._entries.get(entry.id) is entry:
+            self._record(entry, seconds, Source.HEADER, now)
 
     def mark(self, entries: Iterable[TargetEntry]) -> None:
         """Take targets for cold that got no requests for some time."""
@@ -157,6 +159,7 @@
                 entry.cold_rate = TargetRate(now, self._rng)
             rule = permit_rule(rate_per_s, service.cold_instances, self._bound)
             entry.cold_rate.set_permit_rule(rule.lifetime_s, rule.keeps_one)
+            entry.cold_max_in_flight = rule.max_in_flight
             if self._rank is not None:
                 # Wall clocks differ by milliseconds; with larger differences the
                 # permits lie as if at random.
--- a/filbertshelf/coordination/target_entries.py
+++ b/filbertshelf/coordination/target_entries.py
@@ -74,6 +74,8 @@
     """Until when the target is cold, None for most targets."""
     cold_rate: TargetRate | None = None
     """The permits while it is cold, None if its service has no rate for that."""
+    cold_max_in_flight: int = 1
+    """How many requests may be unanswered while `cold_rate` applies."""
     cold_check_at: float = float("-inf")
     """When its cold state is applied again, in monotonic seconds."""
     cold_logged_at: float = float("-inf")
@@ -116,9 +118,14 @@
     def _allows_cold(self, now: float) -> bool:
         """Return whether the rate of a cold target allows a request now.
 
-        Requests that wait for a connection would later reach the target all at once.
+        Requests that wait for a connection, or for a target that stands still, would
+        later reach the target all at once.
         """
-        return self.cold_rate.allows(now) and self.pool.has_room()
+        return (
+            self.cold_rate.allows(now)
+            and len(self.running) < self.cold_max_in_flight
+            and self.pool.has_room()
+        )
 
     def spend_permits(self, now: float, is_extra: bool) -> None:
         """Use the permits for a request that is sent now."""
--- a/filbertshelf/state/cold.py
+++ b/filbertshelf/state/cold.py
@@ -170,6 +170,9 @@
     lifetime_s: float
     keeps_one: bool
     """Whether one permit stays valid without an end."""
+    max_in_flight: int
+    """How many requests of the instance may be unanswered. What piles up at a target
+    that stands still reaches it at once when it goes on."""
 
 
 def permit_rule(rate_per_s: float, instances: int, bound: ColdBound) -> PermitRule:
@@ -182,7 +185,9 @@
     """
     allowance = bound.burst_allowance(rate_per_s)
     interval_s = instances / rate_per_s
+    max_in_flight = max(1, int(allowance / instances))
     if allowance >= instances:
         kept = BURST_SHARE * allowance / instances
-        return PermitRule(max(0.0, kept - 1.0) * interval_s, True)
-    return PermitRule(SPREAD_SHARE * allowance / rate_per_s, False)
+        return PermitRule(max(0.0, kept - 1.0) * interval_s, True, max_in_flight)
+    lifetime_s = SPREAD_SHARE * allowance / rate_per_s
+    return PermitRule(lifetime_s, False, max_in_flight)
--- a/test/coordination/test_cold_targets.py
+++ b/test/coordination/test_cold_targets.py
@@ -233,6 +233,21 @@
     assert {call.status for call in calls} == {200}
 
 
+@pytest.mark.parametrize("size", [1, 4, 10])
+def test_few_requests_pile_up_at_a_cold_target_that_stands_still(size):
+    # Guards against seconds of requests that a paused target gets at once when it goes
+    # on: 4 s at 20 a second.
+    fleet = make_fleet(size, 20.0, [60.0, 0.0])
+    stalled, warm = fleet.leafs
+    stalled.fault = "silent"
+    warm.fault = "refused"
+    for _ in range(40):
+        fleet.send(per_s=100, seconds=0.1)
+        entries = [gateway.targets._entries[stalled.id] for gateway in fleet.gateways]
+        unanswered = sum(len(entry.running) for entry in entries)
+        assert unanswered <= 20.0 * (OVERAGE - 1) + SLACK
+
+
 def test_instances_with_the_same_rank_or_other_clocks_keep_to_the_rate():
     # Guards against a burst if the instances disagree on their ranks for a while.
     fleet = make_fleet(13, 10.0, [30.0], role=FleetRole(17, 17, True, True))
