--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -204,6 +204,11 @@
             "Data centres whose targets get no requests by order of the operator.",
             lambda: len(self.feed.evacuations.data_centres),
         )
+        gauge(
+            "cold_targets",
+            "Listed targets that are cold.",
+            self.targets.cold.count,
+        )
         for cause in Cause:
             gauge(
                 f"{cause.value}_targets",
@@ -299,6 +304,10 @@
         self.delegation.delegates = delegates
         self.delegation.full_mesh = full_mesh
         self.targets.set_role(FleetRole.choose(fleet, delegates, full_mesh))
+        own_id = self.cfg.instance.name
+        self.targets.set_rank(
+            sum(member.id < own_id for member in self.membership.members())
+        )
         if fleet.known:
             self.delegation.keep_connected()
 
@@ -347,6 +356,7 @@
         self.targets.set_retries(cfg.retries)
         self.targets.set_regions(cfg.regions)
         self.delegation.regions = cfg.regions
+        self.targets.set_cold_bound(cfg.cold)
         self.feed.set_seeds(cfg.instance.peers)
         changed = _changed_fields(old, cfg)
         need_restart = [name for name in changed if name.endswith("listen")]
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -62,6 +62,20 @@
     assert cfg.regions == {}
 
 
+def test_the_bound_on_cold_targets_is_optional():
+    # Guards against an earlier deployment whose settings are refused.
+    cold = parse_gateway_settings(settings()).cold
+    assert (cold.overage, cold.slack) == (1.5, 5.0)
+    doc = settings()
+    doc["bounds"] |= {"coldOverage": 1.2, "coldSlack": 3}
+    cold = parse_gateway_settings(doc).cold
+    assert (cold.overage, cold.slack) == (1.2, 3.0)
+    doc["bounds"]["coldSlack"] = "3"
+    with pytest.raises(SettingsError) as caught:
+        parse_gateway_settings(doc)
+    assert [problem.where for problem in caught.value.problems] == ["bounds.coldSlack"]
+
+
 def test_all_problems_are_reported_together():
     doc = settings()
     del doc["node"]
