Free finished requests without the garbage collector

Each finished query stayed in memory as a reference cycle of its run, its shard calls and their exchanges, until the collector ran: at 8 queries at once, 3,935 shard calls were held where at most 1,080 were running. Exchanges now drop their callbacks at their end, closed shard calls their listener, and finished runs their runner.

python -m test.footprint, queries over 90 to 135 shards, before (3 runs) and after (5 runs): peak memory 73.5 MB (71.5 to 74.8) and 53.6 MB (53.2 to 54.6), processor time of a sub-request 66 us (66 to 68) and 54 us (48 to 75).

The simulated targets keep the reader of an exchange, as a late response does its head.

--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -223,6 +223,8 @@
         if self._ended:
             return
         self._ended = True
+        # The runner holds this object, so the reference would keep both in a cycle.
+        self._local = None
         delegated = self._delegated
         may_have_run = self._may_have_run or (
             delegated is not None and delegated.may_be_running
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -78,7 +78,8 @@
         self._target_deaths = 0
         self._context = context
         self._request = request
-        self._listener = listener
+        self._listener: ShardCallListener | None = listener
+        """None once the call is closed, because the listener holds the call."""
         self._repeatable = request.route.repeat is Repeat.IDEMPOTENT
         self.watched_fields = context.classifier.statement_fields
         self._tried: set[str] = set()
@@ -174,6 +175,7 @@
     def stop(self) -> None:
         """Send nothing more and withdraw queued exchanges; written ones may finish."""
         self.closed = True
+        self._listener = None
         if self._retry_timer is not None:
             self._retry_timer.cancel()
             self._retry_timer = None
@@ -328,8 +330,9 @@
         self.answer = exchange
         self.classification = classification
         self.reason = Reason.NONE
+        listener = self._listener
         self.stop()
-        self._listener.on_answered(self)
+        listener.on_answered(self)
 
     def _handle_failure(
         self,
@@ -451,5 +454,6 @@
 
     def _fail(self) -> None:
         if not self.closed:
+            listener = self._listener
             self.stop()
-            self._listener.on_failed(self)
+            listener.on_failed(self)
--- a/filbertshelf/transport/http1/exchange.py
+++ b/filbertshelf/transport/http1/exchange.py
@@ -62,9 +62,9 @@
     before, on which it couldn't tell.
     """
 
-    make_head: Callable[[], bytes]
+    make_head: Callable[[], bytes] | None
     body: bytes
-    on_end: Callable[[Exchange], None]
+    on_end: Callable[[Exchange], None] | None
     without_body: bool = False
     max_body_bytes: int = MAX_BODY_BYTES
     reader: ResponseReader | None = None
@@ -82,7 +82,14 @@
     connection: HttpConnection | None = None
 
     def finish(self, end: ExchangeEnd) -> None:
-        """Record the end and call `on_end`, unless the exchange has already ended."""
+        """Record the end and call `on_end`, unless the exchange has already ended.
+
+        The callbacks are dropped, because their owners usually hold the exchange. Such
+        reference cycles would keep thousands of finished exchanges in memory until the
+        garbage collector runs.
+        """
         if self.end is None:
             self.end = end
-            self.on_end(self)
+            on_end = self.on_end
+            self.make_head = self.on_end = self.reader = None
+            on_end(self)
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -208,13 +208,14 @@
             fields.append((b"Leaving", self.leaving))
         if status == 503 and self.retry_after is not None:
             fields.append((b"Retry-After", self.retry_after))
+        reader = exchange.reader
 
         def respond() -> None:
             # A gateway reads the head of a late response too.
             exchange.status = status
             values = {name.lower(): value for name, value in fields}
-            if not exchange.reader.watched_fields.isdisjoint(values):
-                exchange.reader.on_watched_head(exchange, values)
+            if not reader.watched_fields.isdisjoint(values):
+                reader.on_watched_head(exchange, values)
             if exchange.end is None:
                 exchange.status = status
                 exchange.fields = fields
