--- a/test/state/test_answering.py
+++ b/test/state/test_answering.py
@@ -43,7 +43,7 @@
 
 
 @given(
-    st.lists(st.binary(max_size=70), max_size=8), st.integers(min_value=1, max_value=9)
+    st.lists(st.binary(max_size=200), max_size=8), st.integers(min_value=0, max_value=9)
 )
 def test_merging_equals_sorting_all_records(bodies, top):
     records = [
