Compute the choice of a target with fewer calls

A query asks for an available target of each shard twice: before anything is sent, where now the first available one ends the search, and when it sends, where the cost of each target was computed by three nested functions.

--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -275,11 +275,13 @@
         """Return why no target may be sent a request now, None if one may be."""
         service_targets = self._services.get(service)
         entries = [] if service_targets is None else service_targets.entries.values()
+        # Usually the first target will do, and each query asks for each shard.
+        for entry in entries:
+            if entry.state.is_available() and entry.allows(now):
+                return None
         available = [entry for entry in entries if entry.state.is_available()]
         if not available:
             return Reason.NO_REPLICA
-        if any(entry.allows(now) for entry in available):
-            return None
         causes = {
             entry.withholding.cause if entry.is_withheld(now) else None
             for entry in available
--- a/filbertshelf/state/selection.py
+++ b/filbertshelf/state/selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection, Iterable
 
@@ -50,11 +51,10 @@
         stalled and the waiting time is used instead.
         """
         state = self.state
-        per_request = state.cost_at(now) / (state.in_flight + 1)
-        if not state.latency_s:
-            per_request = default_s
-        per_request = max(per_request, self.waiting_s(now))
         queue = state.in_flight + 1
+        per_request = state.cost_at(now) / queue if state.latency_s else default_s
+        if self.oldest_start is not None:
+            per_request = max(per_request, self.waiting_s(now))
         if not self.can_connect:
             queue += 1
         return per_request * queue
@@ -77,17 +77,18 @@
     # The typical latency excludes the penalties for failures, so a new target is
     # preferred if all its siblings fail.
     typical = [
-        candidate.state.typical_latency_s
+        latency_s
         for candidate in available
-        if candidate.state.typical_latency_s
+        if (latency_s := candidate.state.typical_latency_s)
     ]
     default_s = NEW_TARGET_FACTOR * min(typical) if typical else DEFAULT_LATENCY_S
-    return min(available, key=lambda candidate: _cost(candidate, default_s, now, rng))
-
-
-def _cost(
-    candidate: Candidate, default_s: float, now: float, rng: random.Random
-) -> float:
-    distance = 1.0 if candidate.local else REMOTE_FACTOR
-    jitter = 1.0 + JITTER * rng.random()
-    return candidate.expected_s(now, default_s) * distance * jitter
+    cheapest = available[0]
+    lowest_cost = math.inf
+    for candidate in available:
+        distance = 1.0 if candidate.local else REMOTE_FACTOR
+        jitter = 1.0 + JITTER * rng.random()
+        cost = candidate.expected_s(now, default_s) * distance * jitter
+        if cost < lowest_cost:
+            cheapest = candidate
+            lowest_cost = cost
+    return cheapest
