--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -24,6 +24,9 @@
 # The idle timeout that is assumed for servers that send none.
 DEFAULT_IDLE_S = 60.0
 
+_KEEP_ALIVE = b"keep-alive"
+_NO_VALUES: HeaderValues = {}
+
 
 class Owner(Protocol):
     """The pool that a connection belongs to."""
@@ -47,7 +50,7 @@
         # One buffer, because a part of a few bytes would cost ten times its length.
         self._body = bytearray()
         self._meter = ResponseMeter()
-        self._values: HeaderValues = {}
+        self._values: HeaderValues = _NO_VALUES
         self._complete = False
         self._body_ends_with_connection = False
         self._reusable = True
@@ -227,7 +230,10 @@
         exchange.response_body = bytes(self._body)
         self._drop_body()
         if self._reusable:
-            self._pool.release(self, _idle_timeout(exchange.fields))
+            named = _KEEP_ALIVE in self._values
+            idle_s = _idle_timeout(exchange.fields) if named else DEFAULT_IDLE_S
+            self._values = _NO_VALUES
+            self._pool.release(self, idle_s)
         else:
             self.close()
         exchange.finish(ExchangeEnd.RESPONDED)
@@ -247,7 +253,7 @@
 def _idle_timeout(fields: list[HeaderField]) -> float:
     """Return for how many seconds the idle connection may be reused."""
     for name, value in fields:
-        if name.lower() != b"keep-alive":
+        if name.lower() != _KEEP_ALIVE:
             continue
         for part in value.split(b","):
             key, _, number = part.strip().partition(b"=")
