--- a/filbertshelf/bench/decisions.py
+++ b/filbertshelf/bench/decisions.py
@@ -13,10 +13,11 @@
 from filbertshelf.state.budgets import LatencyWindow
 from filbertshelf.state.limits import RateShare
 from filbertshelf.state.outcome import Reason, Result
-from filbertshelf.state.publication import Fleet, Target
+from filbertshelf.state.publication import Fleet
 from filbertshelf.state.quarantine import Quarantine
 from filbertshelf.state.replica_choice import choose_random, choose_replica
 from filbertshelf.state.replicas import TargetState
+from filbertshelf.state.target import Target
 
 CALLS = 20_000
 ROUNDS = 5
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -22,11 +22,11 @@
 from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import UNKNOWN_FLEET_SIZE
 from filbertshelf.state.outcome import Reason, Result
-from filbertshelf.state.publication import Target
 from filbertshelf.state.replicas import TargetState
 from filbertshelf.state.retry_window import RetryPolicy, RetryWindow
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.selection import Candidate, choose_cheapest
+from filbertshelf.state.target import Target
 from filbertshelf.state.target_rate import TargetRate
 from filbertshelf.state.withholding import Cause, LeavingTarget
 from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
--- a/filbertshelf/coordination/targets.py
+++ b/filbertshelf/coordination/targets.py
@@ -16,9 +16,10 @@
 from filbertshelf.settings import Settings
 from filbertshelf.state.limits import AdaptiveLimit, connection_quota
 from filbertshelf.state.outcome import Attempt, Reason, Result
-from filbertshelf.state.publication import Fleet, Publication, Target
+from filbertshelf.state.publication import Fleet, Publication
 from filbertshelf.state.replica_choice import choose_random, choose_replica
 from filbertshelf.state.replicas import ReplicaChoice, TargetState
+from filbertshelf.state.target import Target
 from filbertshelf.transport.target_link import Call, TargetLink, TargetReport
 
 # The rate for all idle targets together, so the cost doesn't grow with their number.
--- a/filbertshelf/state/limits.py
+++ b/filbertshelf/state/limits.py
@@ -5,7 +5,8 @@
 from math import inf
 
 from filbertshelf.clock import Clock
-from filbertshelf.state.publication import Fleet, Target
+from filbertshelf.state.publication import Fleet
+from filbertshelf.state.target import Target
 
 DECREASE_FACTOR = 0.7
 """The factor by which one decrease lowers a concurrency limit."""
--- a/filbertshelf/state/publication.py
+++ b/filbertshelf/state/publication.py
@@ -11,6 +11,7 @@
 from filbertshelf.addresses import parse_address
 from filbertshelf.errors import Problem, PublicationError, SelectorError
 from filbertshelf.state.labels import Labels, Selector
+from filbertshelf.state.target import Target
 
 MAX_DEADLINE_MS = 60_000
 SECTIONS = ("fleet", "services", "targets", "policies")
@@ -47,18 +48,6 @@
     shards: Mapping[str, tuple[str, ...]]
 
 
-@attrs.frozen
-class Target:
-    """A leaf: a back-end process that holds replicas of shards."""
-
-    name: str
-    address: str
-    data_centre: str
-    labels: Labels
-    slots: int
-    connections: int
-
-
 @attrs.frozen
 class Policy:
     """The services, targets and limits for the requests that a selector matches."""
--- a/filbertshelf/state/replicas.py
+++ b/filbertshelf/state/replicas.py
@@ -10,7 +10,7 @@
 
 from filbertshelf.clock import Clock
 from filbertshelf.state.outcome import Reason, Result
-from filbertshelf.state.publication import Target
+from filbertshelf.state.target import Target
 
 MIN_LATENCY_S = 0.001
 """The assumed latency of a target without samples, low so that it is tried soon."""
--- a/test/state/test_limits.py
+++ b/test/state/test_limits.py
@@ -11,7 +11,8 @@
     burst_bound,
     connection_quota,
 )
-from filbertshelf.state.publication import Fleet, Target
+from filbertshelf.state.publication import Fleet
+from filbertshelf.state.target import Target
 
 ENDS = st.tuples(st.floats(0.001, 5), st.booleans(), st.floats(0, 3))
 
--- a/test/state/test_replicas.py
+++ b/test/state/test_replicas.py
@@ -9,9 +9,9 @@
 
 from filbertshelf.clock import ManualClock
 from filbertshelf.state.outcome import Reason, Result
-from filbertshelf.state.publication import Target
 from filbertshelf.state.replica_choice import choose_random, choose_replica
 from filbertshelf.state.replicas import OPEN_MIN_S, Breaker, TargetState
+from filbertshelf.state.target import Target
 
 HEALTHY = (Result.ANSWERED, Reason.NONE, 0.01)
 BROKEN = (Result.NOT_RUN, Reason.CONNECT_FAILED, 0.0001)
--- a/test/state/test_selection.py
+++ b/test/state/test_selection.py
@@ -7,9 +7,9 @@
 
 from filbertshelf.clock import ManualClock
 from filbertshelf.state.outcome import Reason, Result
-from filbertshelf.state.publication import Target
 from filbertshelf.state.replicas import TargetState
 from filbertshelf.state.selection import Candidate, choose_cheapest
+from filbertshelf.state.target import Target
 
 RNG = random.Random(1)
 
