--- a/filbertshelf/coordination/target_entries.py
+++ b/filbertshelf/coordination/target_entries.py
@@ -102,9 +102,11 @@
 
     def refreshed_candidate(self) -> Candidate:
         """Return the candidate, updated with the current state of the connections."""
-        self.candidate.can_connect = self.pool.has_room()
-        self.candidate.oldest_start = next(iter(self.running.values()), None)
-        return self.candidate
+        candidate = self.candidate
+        candidate.can_connect = self.pool.has_room()
+        running = self.running
+        candidate.oldest_start = next(iter(running.values())) if running else None
+        return candidate
 
 
 @attrs.define(eq=False)
