--- a/deploy/build.py
+++ b/deploy/build.py
@@ -11,8 +11,8 @@
 DEPS_DIR = ROOT / "target" / "deps"
 SOURCE_DIR = ROOT / "filbertshelf"
 
-# Needed only by instances started with the `filbertshelf` command, not by gateways.
-EXCLUDED_PACKAGES = ("aiohttp", "absl-py", "statsd")
+# Needed only by what the `filbertshelf` command starts, not by gateways.
+EXCLUDED_PACKAGES = ("aiohttp", "absl-py", "hdrhistogram", "statsd")
 
 
 def main() -> int:
