--- a/test/footprint.py
+++ b/test/footprint.py
@@ -214,12 +214,12 @@
     for host, path in requests:
         head = f"GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {path}\r\n\r\n"
         writer.write(head.encode())
-        head = await reader.readuntil(b"\r\n\r\n")
-        length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
+        answer = await reader.readuntil(b"\r\n\r\n")
+        length = int(re.search(rb"(?i)content-length: (\d+)", answer)[1])
         await reader.readexactly(length)
-        whole = b"Missing-Parts: 0" in head or b"Missing-Parts" not in head
-        if b" 200 " not in head or not whole:
-            raise RuntimeError(f"a request failed: {head[:200]!r}")
+        whole = b"Missing-Parts: 0" in answer or b"Missing-Parts" not in answer
+        if b" 200 " not in answer or not whole:
+            raise RuntimeError(f"a request failed: {answer[:200]!r}")
     writer.close()
 
 
