--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -24,11 +24,11 @@
 from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import GROWTH, UNKNOWN_FLEET_SIZE
 from filbertshelf.state.outcome import Reason, Result
-from filbertshelf.state.publication import Target
 from filbertshelf.state.replicas import TargetState
 from filbertshelf.state.retry_window import RetryPolicy, RetryWindow
 from filbertshelf.state.routing import RouteTable
 from filbertshelf.state.selection import Candidate, choose_cheapest
+from filbertshelf.state.target import Target
 from filbertshelf.state.target_rate import TargetRate
 from filbertshelf.state.withholding import Cause, LeavingTarget
 from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
@@ -397,11 +397,13 @@
     ) -> Reason | None:
         """Return why no target may be sent a request now, None if one may be."""
         entries = self._entries_within(service, regions)
+        # Usually the first target will do, and each query asks for each shard.
+        for entry in entries:
+            if entry.state.is_available() and entry.allows(now):
+                return None
         available = [entry for entry in entries if entry.state.is_available()]
         if not available:
             return Reason.NO_REPLICA
-        if any(entry.allows(now) for entry in available):
-            return None
         causes = {entry.withheld_cause(now) for entry in available}
         if None in causes:
             return Reason.RATE_LIMITED
