Count a target's slots when the next one is chosen

Cause: each request in flight counted like a whole queue, so a target with two slots and one running request cost as much as a target in another data centre. Under a burst every other sub-request left the data centre although slots were free here.

Change: a request in flight counts as the share of the slots that it takes.

The new test fails without the change.

--- a/filbertshelf/state/selection.py
+++ b/filbertshelf/state/selection.py
@@ -47,14 +47,18 @@
     def expected_s(self, now: float, default_s: float = DEFAULT_LATENCY_S) -> float:
         """Return the expected seconds until the target answers one more request.
 
-        It is the target's latency times its number of requests in flight, including
-        the new one; `default_s` is the latency without an answer so far. If the oldest
-        running sub-request has waited for longer than that latency, the target may have
-        stalled and the waiting time is used instead.
+        It is the target's latency times the length of its queue, in which each request
+        in flight counts as the share of the target's slots that it takes; `default_s`
+        is the latency without an answer so far. If the oldest running sub-request has
+        waited for longer than that latency, the target may have stalled and the waiting
+        time is used instead.
         """
         state = self.state
-        queue = state.in_flight + 1
-        per_request = state.cost_at(now) / queue if state.latency_s else default_s
+        in_flight = state.in_flight
+        per_request = (
+            state.cost_at(now) / (in_flight + 1) if state.latency_s else default_s
+        )
+        queue = 1.0 + in_flight / max(1, state.target.slots)
         if self.oldest_start is not None:
             per_request = max(per_request, self.waiting_s(now))
         if not self.can_connect:
--- a/test/state/test_selection.py
+++ b/test/state/test_selection.py
@@ -43,6 +43,19 @@
     assert chosen(pair, clock) == {"far"}
 
 
+def test_a_local_target_with_a_free_slot_is_chosen_over_a_remote_one():
+    # Guards against sending every second request of a burst to another data centre
+    # while the targets here still have free slots.
+    clock = ManualClock()
+    near = candidate(clock, "near", True, 0.03)
+    pair = [candidate(clock, "far", False, 0.03), near]
+    near.state.attempt_started()
+    assert chosen(pair, clock) == {"near"}
+    for _ in range(3):
+        near.state.attempt_started()
+    assert chosen(pair, clock) == {"far"}
+
+
 def test_a_stalled_target_is_not_chosen():
     # Guards against sending one query after the other to a paused target.
     clock = ManualClock()
