Bound what callers' connections and untaken requests to targets may hold

One memory budget covers the connections of all callers: heads with a cost per header line, bodies, queued pipelined requests and unsent answers. Above it the connection with the most bytes is refused with 503 if its request has not started, or closed.

A run is part of reference cycles, so headers and bodies of large requests are dropped at its end. With bodies of 1 MiB, cycles would otherwise hold some hundred of them.

--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -93,9 +93,9 @@
         """Return the target's answer to the caller."""
         exchange = call.answer
         fields = tuple(end_to_end_fields(exchange.fields, _FRAMING_FIELDS))
-        self._finish(
-            Response(exchange.status, fields, exchange.response_body), "answered"
-        )
+        # The exchange is part of reference cycles, which may be freed much later.
+        body, exchange.response_body = exchange.response_body, b""
+        self._finish(Response(exchange.status, fields, body), "answered")
 
     def on_failed(self, call: ShardCall) -> None:
         """Return the target's failure, or else a refusal.
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -12,6 +12,7 @@
 import mode
 
 from filbertshelf import __version__, events
+from filbertshelf.addresses import Address
 from filbertshelf.clock import Clock, SystemClock
 from filbertshelf.coordination.delegation import Delegation
 from filbertshelf.coordination.feed import Feed, FeedListener, PlatformSource
@@ -32,12 +33,16 @@
 from filbertshelf.state.delegation import Delegates
 from filbertshelf.state.fleet_role import FleetRole
 from filbertshelf.state.fleet_size import FleetEstimate, FleetSizeEstimator
+from filbertshelf.state.log_limit import LogRateLimit
 from filbertshelf.state.members import Identity
 from filbertshelf.state.pause import PauseMonitor
 from filbertshelf.state.routing import Limits
 from filbertshelf.state.withholding import Cause
 from filbertshelf.supervision import contain_errors
-from filbertshelf.transport.http1.server import HttpServer, Request
+from filbertshelf.transport.http1.caller_budget import CallerBounds, CallerBudget
+from filbertshelf.transport.http1.pool import ConnectionPool
+from filbertshelf.transport.http1.server import App, HttpServer, Request
+from filbertshelf.transport.http1.untaken_requests import UntakenRequests, total_limit
 from filbertshelf.transport.log_pipe import LogPipe
 from filbertshelf.transport.peers import Peers
 
@@ -59,6 +64,12 @@
 
 DRAIN_CHECK_INTERVAL_S = 0.05
 
+MAX_BOUND_LINES_PER_S = 10
+"""Log lines of connections that are closed for a bound."""
+
+MAX_OPERATOR_CONNECTIONS = 64
+"""Connections for readiness checks, and as many for metrics."""
+
 
 class SettingsSource(Protocol):
     """The source of the settings."""
@@ -118,6 +129,9 @@
         identity = Identity.start(instance.name, instance.data_centre, self.clock)
         self._identity = identity
         self.metrics = GatewayMetrics()
+        self._bound_log_limit = LogRateLimit(MAX_BOUND_LINES_PER_S)
+        self.budget = CallerBudget(_caller_bounds(cfg), self._on_closed_for_bound)
+        self._untaken = UntakenRequests(cfg.memory_bytes, self._on_closed_for_bound)
         self.peers = Peers(instance, identity, self.clock)
         self.membership = Membership(
             instance, identity, self.clock, self.peers, self._rng
@@ -132,6 +146,7 @@
             self.clock,
             self._rng,
             _call_later,
+            functools.partial(ConnectionPool, untaken=self._untaken),
             on_limit_ended=self.fleet_notices.announce_limit_end,
             on_leaving=self.fleet_notices.announce_leaving,
         )
@@ -164,9 +179,9 @@
             self.context, self.feed, self.delegation, self.metrics, self._rng
         )
         self.log_pipe = LogPipe(STDOUT, self._on_lines_dropped)
-        self.server = HttpServer(cfg.listen, self.router, self.clock)
-        self.ready_server = HttpServer(
-            cfg.ready_listen, ReadyCheck(self.ready), self.clock
+        self.server = HttpServer(cfg.listen, self.router, self.clock, self.budget)
+        self.ready_server = self._operator_server(
+            cfg.ready_listen, ReadyCheck(self.ready)
         )
         self._pause_monitor = PauseMonitor(self.clock, PAUSE_THRESHOLD_S)
         self._stopping = False
@@ -175,6 +190,11 @@
         self.fleet_notices.subscribe(self.targets.statements)
         self._add_gauges()
 
+    def _operator_server(self, address: Address, app: App) -> HttpServer:
+        return HttpServer(
+            address, app, self.clock, self.budget, MAX_OPERATOR_CONNECTIONS
+        )
+
     def _add_gauges(self) -> None:
         gauge = self.metrics.add_gauge
         gauge(
@@ -210,6 +230,21 @@
             "Requests that wait for their answer.",
             lambda: self.server.in_flight,
         )
+        gauge(
+            "caller_connections",
+            "Open connections of callers.",
+            lambda: len(self.server.connections),
+        )
+        gauge(
+            "caller_bytes",
+            "Bytes held for callers: heads, bodies, queued requests, unread answers.",
+            lambda: self.budget.total,
+        )
+        gauge(
+            "untaken_bytes",
+            "Bytes of requests that targets have not taken.",
+            lambda: self._untaken.total,
+        )
 
     def _member_count(self) -> int:
         return self.membership.member_count()
@@ -228,7 +263,7 @@
         ]
         if self.cfg.metrics_listen is not None:
             page = MetricsHandler(self.metrics)
-            services.append(HttpServer(self.cfg.metrics_listen, page, self.clock))
+            services.append(self._operator_server(self.cfg.metrics_listen, page))
         for service in services:
             await self.add_runtime_dependency(service)
         events.emit(
@@ -250,6 +285,15 @@
         self.metrics.dropped_log_lines.inc(count)
         events.emit(events.LOG_LINES_DROPPED, count=count)
 
+    def _on_closed_for_bound(self, bound: str, count: int, peer: str) -> None:
+        self.metrics.closed_for_bound.labels(bound).inc()
+        if not self._bound_log_limit.allows(self.clock.monotonic()):
+            self.metrics.dropped_log_lines.inc()
+            return
+        events.emit(
+            events.CONNECTION_CLOSED_FOR_BOUND, bound=bound, bytes=count, peer=peer
+        )
+
     # Periodic checks and reload.
 
     @mode.Service.task
@@ -334,6 +378,8 @@
             events.emit(events.SETTINGS_REFUSED, reason=str(exc))
             return
         old, self.cfg = self.cfg, cfg
+        self.budget.set_bounds(_caller_bounds(cfg))
+        self._untaken.set_limit(total_limit(cfg.memory_bytes))
         self.targets.set_retries(cfg.retries)
         self.feed.set_seeds(cfg.instance.peers)
         changed = _changed_fields(old, cfg)
@@ -371,6 +417,10 @@
     return asyncio.get_running_loop().call_later(seconds, func)
 
 
+def _caller_bounds(cfg: GatewaySettings) -> CallerBounds:
+    return CallerBounds(cfg.memory_bytes, cfg.max_descriptors)
+
+
 def _changed_fields(old: GatewaySettings, new: GatewaySettings) -> list[str]:
     field_names = [field.name for field in attrs.fields(GatewaySettings)]
     return [name for name in field_names if getattr(old, name) != getattr(new, name)]
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -58,6 +58,8 @@
     ExchangeEnd.NOT_CONNECTED: (Result.NOT_RUN, Reason.CONNECT_FAILED),
     ExchangeEnd.NOT_SENT: (Result.NOT_RUN, Reason.NO_CAPACITY),
     ExchangeEnd.LOST: (Result.UNKNOWN, Reason.CONNECTION_LOST),
+    # A target may run a request of which it has read a part.
+    ExchangeEnd.NOT_TAKEN: (Result.UNKNOWN, Reason.TIMEOUT),
     ExchangeEnd.MALFORMED: (Result.UNKNOWN, Reason.BAD_RESPONSE),
     ExchangeEnd.CANCELLED: (Result.UNKNOWN, Reason.CANCELLED),
 }
--- a/filbertshelf/coordination/routed_request.py
+++ b/filbertshelf/coordination/routed_request.py
@@ -30,6 +30,9 @@
 MAX_PART_BYTES = 128 * 1024
 """Maximum length of one shard's answer; a query receives one from each shard."""
 
+MAX_KEPT_BYTES = 16 * 1024
+"""Headers and body of an ended request that are left to the garbage collector."""
+
 MAX_HEDGE_DELAYS = 1_024
 """Maximum number of routes with latency statistics; one more resets all of them."""
 
@@ -90,6 +93,7 @@
     """Seconds before the latency objective at which the answer must be sent at the
     latest."""
     _head_prefix: bytes = b""
+    _fingerprint: str = ""
 
     @classmethod
     def make(
@@ -142,11 +146,24 @@
 
     def fingerprint(self, crashes: CrashCounter) -> str:
         """Return the fingerprint; it is the same if the caller repeats the request."""
+        if self._fingerprint:
+            return self._fingerprint
         host = find_field(self.http_request.fields, b"host") or b""
         return crashes.fingerprint(
             host, self.http_request.target, self.http_request.body
         )
 
+    def drop_payload(self, crashes: CrashCounter) -> None:
+        """Drop the headers and the body of a large request that has ended.
+
+        A run is part of reference cycles, so the collector may free it much later.
+        """
+        req = self.http_request
+        if len(self._head_prefix) + len(req.body) > MAX_KEPT_BYTES:
+            # It may still be needed, when a target turns out to have died.
+            self._fingerprint = self.fingerprint(crashes)
+            req.fields, req.body, self._head_prefix = [], b"", b""
+
     def head_for(self, target_id: str, header_names: HeaderNames, now: float) -> bytes:
         """Return the request head for one target, with the time left at `now`."""
         left_ms = max(1, int((self.deadline - now) * 1000))
--- a/filbertshelf/events/requests.py
+++ b/filbertshelf/events/requests.py
@@ -166,6 +166,16 @@
     "body_bytes",
     level=Level.WARNING,
 )
+CONNECTION_CLOSED_FOR_BOUND = define(
+    220,
+    "connection-closed-for-bound",
+    "A connection exceeded a bound and was closed, or its request was refused; further "
+    "ones in the same second are only counted.",
+    "bound",
+    "bytes",
+    "peer",
+    level=Level.WARNING,
+)
 OTHER_RESPONSE_DROPPED = define(
     216,
     "other-response-dropped",
--- a/filbertshelf/gateway_metrics.py
+++ b/filbertshelf/gateway_metrics.py
@@ -71,6 +71,12 @@
             "Targets that died while they ran a request.",
             registry=registry,
         )
+        self.closed_for_bound = Counter(
+            "filbertshelf_connections_closed_by_bound",
+            "Connections that were closed or refused for a bound.",
+            ("bound",),
+            registry=registry,
+        )
         self.dropped_log_lines = Counter(
             "filbertshelf_log_lines_left_out",
             "Log lines that were left out or dropped.",
--- a/filbertshelf/gateway_settings.py
+++ b/filbertshelf/gateway_settings.py
@@ -28,6 +28,10 @@
     """The retry budget of each service across the whole fleet."""
     shard_cost_us: int = 0
     """Microseconds that this machine needs for one shard of a query; 0 if unknown."""
+    memory_bytes: int = 0
+    """The memory of this machine; 0 if unknown."""
+    max_descriptors: int = 0
+    """How many descriptors the process may have open; 0 if unknown."""
     stop_grace_s: float
     """The time from the stop signal to the end of the process."""
     stop_serve_s: float = STOP_SERVE_S
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -16,6 +16,8 @@
 from filbertshelf.state.delegation import shard_cost_us
 from filbertshelf.state.retry_window import RetryPolicy
 
+BYTES_PER_MB = 1_000_000
+
 FLEET_KEY = "filbertshelf-on-a-private-network"
 """The same for all fleets: the platform provides no secret, and only its own machines
 can connect to its private network."""
@@ -75,6 +77,8 @@
     )
     cores = reader.number("limits", "cpuShare") * reader.number("limits", "cores")
     link_mbps = reader.number("limits", "linkMbps")
+    memory_mb = reader.optional_number("limits", "memoryMb")
+    max_descriptors = reader.optional_number("limits", "maxFds")
     host = reader.text("ip")
     grace = reader.number("bounds", "graceS")
     if reader.problems:
@@ -95,6 +99,8 @@
         metrics_listen=(host, METRICS_PORT),
         retries=retries,
         shard_cost_us=shard_cost_us(cores, link_mbps) if cores and link_mbps else 0,
+        memory_bytes=int(memory_mb * BYTES_PER_MB),
+        max_descriptors=int(max_descriptors),
         stop_grace_s=grace,
     )
 
@@ -124,6 +130,10 @@
         )
         return 0.0
 
+    def optional_number(self, *path: str) -> float:
+        """Return the number, 0 if it is missing."""
+        return 0.0 if self._find(path) is None else self.number(*path)
+
     def address(self, *path: str) -> Address:
         return self._address(path, self._find(path))
 
--- a/filbertshelf/state/log_limit.py
+++ b/filbertshelf/state/log_limit.py
@@ -12,11 +12,11 @@
 class LogRateLimit:
     """Allows a limited number of detail lines per second and counts the others."""
 
-    __slots__ = ("_remaining", "_second", "left_out")
+    __slots__ = ("_per_s", "_remaining", "_second", "left_out")
 
-    def __init__(self) -> None:
+    def __init__(self, per_s: int = MAX_LINES_PER_SECOND) -> None:
         self._second = 0
-        self._remaining = MAX_LINES_PER_SECOND
+        self._per_s = self._remaining = per_s
         self.left_out = 0
 
     def allows(self, now: float) -> bool:
@@ -24,7 +24,7 @@
         second = int(now)
         if second != self._second:
             self._second = second
-            self._remaining = MAX_LINES_PER_SECOND
+            self._remaining = self._per_s
         if not self._remaining:
             self.left_out += 1
             return False
--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -14,7 +14,17 @@
     HeaderValues,
 )
 from filbertshelf.transport.http1.message_bounds import HeldBytes, ResponseMeter
-from filbertshelf.transport.http1.sockets import set_tcp_options
+from filbertshelf.transport.http1.sockets import (
+    StallMeter,
+    set_tcp_options,
+    untaken_bytes,
+)
+from filbertshelf.transport.http1.untaken_requests import (
+    BUFFERED_BYTES,
+    STALL_CHECK_S,
+    STALL_S,
+    UntakenRequests,
+)
 
 # A host that acknowledges nothing for this long is down or unreachable.
 TCP_USER_TIMEOUT_MS = 3_000
@@ -29,6 +39,19 @@
     """The pool that a connection belongs to."""
 
     held: HeldBytes
+    untaken: UntakenRequests
+
+    def monotonic(self) -> float:
+        """Return the seconds of the monotonic clock."""
+
+    def start_waiting(self) -> None:
+        """Start queued exchanges if the server has taken enough of the others."""
+
+    def on_untaken(self, conn: HttpConnection) -> None:
+        """Note that the server leaves a part of a request untaken."""
+
+    def on_taken(self, conn: HttpConnection) -> None:
+        """Note that the server has taken the request, or that the exchange ended."""
 
     def release(self, conn: HttpConnection, seconds: float) -> None:
         """Take back a connection that may be reused for some seconds."""
@@ -56,6 +79,7 @@
         self.idle_since = 0.0
         self.idle_s = 0.0
         """How many seconds it was idle before the current exchange."""
+        self.untaken_request: UntakenRequest | None = None
 
     # Callbacks from asyncio.
 
@@ -63,6 +87,23 @@
         """Store the transport and set its TCP options."""
         self._transport = transport
         set_tcp_options(transport, TCP_USER_TIMEOUT_MS)
+        transport.set_write_buffer_limits(high=BUFFERED_BYTES, low=0)
+
+    def pause_writing(self) -> None:
+        """Count the request until the server has taken it."""
+        if self.exchange is not None:
+            self.untaken_request = UntakenRequest(self, self._transport, self._pool)
+            self._pool.on_untaken(self)
+
+    def resume_writing(self) -> None:
+        """Count the request no more."""
+        self._end_untaken()
+
+    def _end_untaken(self) -> None:
+        request, self.untaken_request = self.untaken_request, None
+        if request is not None:
+            request.end()
+            self._pool.on_taken(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; unsolicited bytes close the connection."""
@@ -105,6 +146,7 @@
         """End the current exchange and remove the connection from the pool."""
         exchange, self.exchange = self.exchange, None
         self._pool.held.release(self)
+        self._end_untaken()
         self._pool.remove(self, exchange)
         if exchange is not None:
             exchange.finish(ExchangeEnd.LOST)
@@ -189,13 +231,20 @@
         self._body_ends_with_connection = False
         self._body = bytearray()
         self._meter = ResponseMeter(exchange.max_body_bytes)
-        self._transport.write(exchange.make_head() + exchange.body)
+        # The exchange may last much longer than the write.
+        body, exchange.body = exchange.body, b""
+        if len(body) > BUFFERED_BYTES:
+            # Other exchanges may share the body, so it isn't copied.
+            self._transport.writelines((exchange.make_head(), body))
+        else:
+            self._transport.write(exchange.make_head() + body)
 
     def abort(self) -> None:
         """Close without sending buffered data; the current exchange ends as lost."""
         self._reusable = False
         if self._transport is not None:
             self._transport.abort()
+        self._end_untaken()
 
     def abandon(self) -> None:
         """Close the connection without ending its exchange."""
@@ -222,11 +271,23 @@
         self.exchange.exceeded = "all responses"
         self._fail_exchange(ExchangeEnd.MALFORMED)
 
+    def give_up_request(self, bound: str, count: int) -> None:
+        """End the exchange, because the server doesn't take the request."""
+        host, port = self._transport.get_extra_info("peername")[:2]
+        self._pool.untaken.on_closed(bound, count, f"{host}:{port}")
+        if self.exchange is None:
+            self.abort()
+        else:
+            self._fail_exchange(ExchangeEnd.NOT_TAKEN)
+
     def _finish_exchange(self) -> None:
         exchange, self.exchange = self.exchange, None
         exchange.response_body = bytes(self._body)
         self._drop_body()
-        if self._reusable:
+        if self.untaken_request is not None:
+            # The server has answered without reading the whole request.
+            self.abort()
+        elif self._reusable:
             self._pool.release(self, _idle_timeout(exchange.fields))
         else:
             self.close()
@@ -244,6 +305,48 @@
         self._pool.held.release(self)
 
 
+class UntakenRequest:
+    """A request of which the server has not taken all bytes; ends it after a stall."""
+
+    __slots__ = ("_conn", "_meter", "_pool", "_timer", "_transport")
+
+    def __init__(self, conn: HttpConnection, transport: asyncio.Transport, pool: Owner):
+        self._conn = conn
+        self._transport = transport
+        self._pool = pool
+        self._meter = StallMeter(untaken_bytes(transport), pool.monotonic())
+        # Not called directly, because it may end the exchange while it is written.
+        self._timer = asyncio.get_running_loop().call_soon(self._check)
+
+    @property
+    def count(self) -> int:
+        """Return how many bytes wait in this process."""
+        return self._transport.get_write_buffer_size()
+
+    def shed(self) -> None:
+        """Give the request up, because all together are too large."""
+        count = self._pool.untaken.held_by(self)
+        self.end()
+        self._conn.give_up_request("untaken requests", count)
+
+    def end(self) -> None:
+        """Count the request no more."""
+        self._timer.cancel()
+        self._pool.untaken.release(self)
+
+    def _check(self) -> None:
+        if self._transport.is_closing():
+            return
+        untaken = untaken_bytes(self._transport)
+        if self._meter.stalled_s(untaken, self._pool.monotonic()) > STALL_S:
+            self._conn.give_up_request("untaken request", self.count)
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(STALL_CHECK_S, self._check)
+        self._pool.untaken.update(self, self.count)
+        self._pool.start_waiting()
+
+
 def _idle_timeout(fields: list[HeaderField]) -> float:
     """Return for how many seconds the idle connection may be reused."""
     for name, value in fields:
--- a/filbertshelf/transport/http1/exchange.py
+++ b/filbertshelf/transport/http1/exchange.py
@@ -22,6 +22,7 @@
     NOT_CONNECTED = "not connected"
     NOT_SENT = "not sent"
     LOST = "connection lost"
+    NOT_TAKEN = "request not taken"
     MALFORMED = "malformed response"
     CANCELLED = "cancelled"
 
--- a/filbertshelf/transport/http1/message_bounds.py
+++ b/filbertshelf/transport/http1/message_bounds.py
@@ -111,17 +111,17 @@
 
 
 class Holder(Protocol):
-    """A connection that holds bytes of an unfinished response."""
+    """A connection that holds bytes."""
 
     def shed(self) -> None:
-        """Fail the exchange and drop its bytes; must call `HeldBytes.release`."""
+        """Drop the bytes, whatever that ends; must call `HeldBytes.release`."""
 
 
 class HeldBytes:
-    """The body bytes of all unfinished responses, within one bound.
+    """The bytes that connections hold, within one bound.
 
-    Above the bound the largest response is given up, so that one target that sends
-    without end doesn't cost the responses of the others.
+    Above the bound the connection with the most is shed, so that one server or caller
+    that sends without end doesn't cost the others.
     """
 
     def __init__(self, limit: int = MAX_HELD_BYTES):
@@ -134,10 +134,22 @@
         """Set the bytes that a connection holds, and shed the largest if needed."""
         self.total += count - self._counts.get(holder, 0)
         self._counts[holder] = count
+        self._shed_excess()
+
+    def set_limit(self, limit: int) -> None:
+        """Apply another limit in bytes."""
+        self._limit = limit
+        self._shed_excess()
+
+    def _shed_excess(self) -> None:
         while self.total > self._limit:
             largest = max(self._counts, key=self._counts.__getitem__)
             largest.shed()
 
+    def held_by(self, holder: Holder) -> int:
+        """Return the bytes that a connection holds."""
+        return self._counts.get(holder, 0)
+
     def release(self, holder: Holder) -> None:
-        """Remove a connection whose response has ended."""
+        """Remove a connection that holds nothing any more."""
         self.total -= self._counts.pop(holder, 0)
--- a/filbertshelf/transport/http1/pool.py
+++ b/filbertshelf/transport/http1/pool.py
@@ -11,6 +11,10 @@
 from filbertshelf.transport.http1.connection import DEFAULT_IDLE_S, HttpConnection
 from filbertshelf.transport.http1.exchange import Exchange, ExchangeEnd
 from filbertshelf.transport.http1.message_bounds import HeldBytes
+from filbertshelf.transport.http1.untaken_requests import (
+    MAX_TARGET_BYTES,
+    UntakenRequests,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -18,7 +22,8 @@
 class ConnectionPool:
     """At most `quota` connections to one address, opened on demand.
 
-    `held` accounts for the bytes of responses; pools of one process may share it.
+    `held` accounts for the bytes of responses, `untaken` for those of requests that
+    the server has not read; pools of one process may share them.
     """
 
     def __init__(
@@ -27,13 +32,17 @@
         quota: int,
         clock: Clock,
         held: HeldBytes | None = None,
+        untaken: UntakenRequests | None = None,
     ):
         self.address = address
         self.quota = quota
         self.held = held or HeldBytes()
+        self.untaken = untaken or UntakenRequests()
         self._clock = clock
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
+        self._untaken_on: set[HttpConnection] = set()
+        """Connections with a request that the server has not taken."""
         self._connecting: set[asyncio.Task] = set()
         self._waiting: collections.deque[Exchange] = collections.deque()
         self._closed = False
@@ -52,7 +61,44 @@
 
     def has_room(self) -> bool:
         """Return whether an exchange would start without waiting for another one."""
-        return bool(self._idle) or self.size < self.quota
+        return self._may_write() and (bool(self._idle) or self.size < self.quota)
+
+    def _may_write(self) -> bool:
+        """Return whether the server leaves few enough bytes of requests untaken."""
+        if not self._untaken_on:
+            return True
+        untaken = sum(conn.untaken_request.count for conn in self._untaken_on)
+        return untaken < MAX_TARGET_BYTES
+
+    def monotonic(self) -> float:
+        """Return the seconds of the monotonic clock."""
+        return self._clock.monotonic()
+
+    def on_untaken(self, conn: HttpConnection) -> None:
+        """Count a request that the server has not taken."""
+        self._untaken_on.add(conn)
+
+    def on_taken(self, conn: HttpConnection) -> None:
+        """Count it no more, and start queued exchanges."""
+        self._untaken_on.discard(conn)
+        self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Start queued exchanges if the server has taken enough of the others."""
+        now = self._clock.monotonic()
+        for exchange in list(self._waiting):
+            if not self._may_write():
+                return
+            conn = self._pop_idle(now, exchange.avoid)
+            if conn is None:
+                self._connect_for_waiting()
+                return
+            self._waiting.remove(exchange)
+            conn.send(exchange, now)
+
+    def _connect_for_waiting(self) -> None:
+        if self._waiting and not self._connecting and self._may_write():
+            self._connect_or_make_room()
 
     def submit(self, exchange: Exchange) -> None:
         """Start an exchange, or queue it until a connection is available."""
@@ -60,6 +106,9 @@
         if self._closed:
             exchange.finish(ExchangeEnd.NOT_SENT)
             return
+        if not self._may_write():
+            self._waiting.append(exchange)
+            return
         conn = self._pop_idle(now, exchange.avoid)
         if conn is not None:
             conn.send(exchange, now)
@@ -134,8 +183,7 @@
             conn.send(exchange, now)
             return
         self._idle.append(conn)
-        if self._waiting and not self._connecting:
-            self._connect_or_make_room()
+        self._connect_for_waiting()
 
     def remove(self, conn: HttpConnection, exchange: Exchange | None) -> None:
         """Remove a closed connection; `exchange` is the one it interrupted, if any."""
@@ -145,8 +193,8 @@
             self._idle_limit.record_loss(conn.idle_s, now - exchange.written_at, now)
         if conn in self._idle:
             self._idle.remove(conn)
-        if self._waiting and not self._connecting and self.size < self.quota:
-            self._connect()
+        if self.size < self.quota:
+            self._connect_for_waiting()
 
     def _pop_idle(
         self, now: float, avoid: frozenset[HttpConnection]
@@ -167,6 +215,8 @@
 
     def _pop_waiting(self, conn: HttpConnection) -> Exchange | None:
         """Return the first queued exchange that may use the connection."""
+        if not self._waiting or not self._may_write():
+            return None
         for exchange in self._waiting:
             if conn not in exchange.avoid:
                 self._waiting.remove(exchange)
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -22,13 +22,27 @@
 )
 from filbertshelf.state.routing import Limits
 from filbertshelf.supervision import log_unexpected
+from filbertshelf.transport.http1.caller_budget import (
+    LINE_BYTES,
+    REQUEST_BYTES,
+    STALL_S,
+    CallerBudget,
+)
 from filbertshelf.transport.http1.message_bounds import max_framing_bytes
-from filbertshelf.transport.http1.sockets import set_tcp_options
+from filbertshelf.transport.http1.sockets import (
+    StallMeter,
+    set_tcp_options,
+    untaken_bytes,
+)
 from filbertshelf.transport.http1.upgrade import head_without_offer
 
 BACKLOG = 1_024
 # Complete requests of one connection that may be queued behind the current one.
 MAX_PIPELINED = 8
+# Bytes that are parsed at a time, since one read may hold thousands of requests.
+PARSED_BYTES = 16 * 1024
+# Longer bodies are written without a copy that joins them with the head.
+MAX_COPIED_BYTES = 16 * 1024
 # The interval at which the deadlines of connections are checked.
 DEADLINE_CHECK_INTERVAL_S = 0.25
 # How long a closing connection still receives bytes that were in transit; closing a
@@ -48,12 +62,16 @@
     CLOSING = "closing"
 
 
+_EVICTION_RANKS = {Phase.IDLE: 0, Phase.CLOSING: 1, Phase.HEAD: 2, Phase.BODY: 2}
+
+
 @attrs.define(eq=False)
 class Request:
     """A complete request of a caller.
 
     `received_at` is in seconds of the monotonic clock. `reply` sends the response and
     must be called once. `on_disconnect` is called if the connection closes before that.
+    `held_bytes` is about the memory that it takes.
     """
 
     method: bytes
@@ -64,6 +82,7 @@
     keep_alive: bool
     reply: Callable[[Response], None]
     on_disconnect: Callable[[], None] | None = None
+    held_bytes: int = 0
 
 
 class App(Protocol):
@@ -88,14 +107,21 @@
         self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._budget = server.budget
+        self._unparsed = memoryview(b"")
         self._queue: collections.deque[Request] = collections.deque()
+        self._queued_bytes = 0
         self._running: Request | None = None
+        self._reading = True
+        self._stall: StallMeter | None = None
+        """Set while written answers wait in this process for the caller."""
         self._limits = app.limits()
         self._refusal: tuple[int, str] | None = None
         self._message_bytes = 0
         self._reset_message()
         self._phase = Phase.IDLE
-        self._deadline = clock.monotonic() + self._limits.idle_timeout_s
+        self._phase_since = clock.monotonic()
+        self._deadline = self._phase_since + self._limits.idle_timeout_s
 
     def _reset_message(self) -> None:
         self._target = b""
@@ -111,7 +137,9 @@
         """Store the transport and set its TCP options."""
         self._transport = transport
         set_tcp_options(transport, TCP_USER_TIMEOUT_MS)
-        self._server.connections.add(self)
+        # `pause_writing` is called for any answer that the kernel doesn't take at once.
+        transport.set_write_buffer_limits(high=0)
+        self._server.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start the next request."""
@@ -119,14 +147,69 @@
             return
         if self._phase is Phase.IDLE:
             self._enter_phase(Phase.HEAD)
-        self._message_bytes += len(data)
-        self._parse(data)
-        self._check_overhead()
+        if self._unparsed:
+            # Read before reading was paused.
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
+        self._parse_pending()
+        self._advance()
+
+    def _advance(self) -> None:
+        """Start the next request, and count what is held by then."""
         self._start_next()
+        self._update_budget()
+
+    def _parse_pending(self) -> None:
+        """Parse received bytes until enough requests are queued."""
+        while (
+            self._unparsed
+            and self._refusal is None
+            and len(self._queue) < MAX_PIPELINED
+        ):
+            part = self._unparsed[:PARSED_BYTES]
+            self._unparsed = self._unparsed[PARSED_BYTES:]
+            self._message_bytes += len(part)
+            self._parse(part)
+            self._check_overhead()
+        self._choose_reading()
+
+    def _choose_reading(self) -> None:
+        """Pause reading while requests wait or answers are not read.
+
+        Behind a refusal, what comes is read and dropped, because unread bytes would
+        reset the connection.
+        """
+        dropping = self._phase is Phase.CLOSING or self._refusal is not None
+        full = self._stall is not None or len(self._queue) >= MAX_PIPELINED
+        reading = dropping or not full
+        if reading == self._reading or self._transport.is_closing():
+            return
+        self._reading = reading
+        if reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        """Start no request and read none until the caller takes its answers."""
+        if self._phase is not Phase.CLOSING:
+            now = self._clock.monotonic()
+            self._stall = StallMeter(untaken_bytes(self._transport), now)
+            self._choose_reading()
 
-    def _parse(self, data: bytes) -> None:
-        rest = memoryview(data)
-        while rest:
+    def resume_writing(self) -> None:
+        """Go on with the queued requests."""
+        if self._stall is None or self._phase is Phase.CLOSING:
+            return
+        self._stall = None
+        if self._phase is not Phase.ANSWER:
+            # The caller could send nothing meanwhile.
+            self._enter_phase(self._phase)
+        self._choose_reading()
+        self._advance()
+
+    def _parse(self, rest: memoryview) -> None:
+        while rest and self._refusal is None:
             try:
                 self._parser.feed_data(rest)
                 return
@@ -168,10 +251,14 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Call `on_disconnect` of the current request."""
+        """Drop everything and call `on_disconnect` of the current request."""
+        self._leave()
+
+    def _leave(self) -> None:
         self._server.connections.discard(self)
         self._phase = Phase.CLOSING
-        self._queue.clear()
+        self._drop_received()
+        self._budget.release(self)
         req, self._running = self._running, None
         if req is not None and req.on_disconnect is not None:
             req.on_disconnect()
@@ -188,13 +275,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers of a chunked body are dropped."""
-        if not self._headers_complete:
+        if not self._headers_complete and self._refusal is None:
             self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the sizes of the headers and the body before the body arrives."""
-        if self._offers_upgrade:
-            # They come again without the offer.
+        if self._offers_upgrade or self._refusal is not None:
+            # With an offer, they come again without it.
             return
         self._headers_complete = True
         size = sum(len(name) + len(value) + 4 for name, value in self._fields)
@@ -233,14 +320,14 @@
             self._clock.monotonic(),
             self._parser.should_keep_alive(),
             self._reply,
+            held_bytes=self._message_held_bytes(),
         )
         self._reset_message()
         self._message_bytes = 0
         self._queue.append(req)
+        self._queued_bytes += req.held_bytes
         if self._phase is not Phase.ANSWER:
             self._phase = Phase.IDLE
-        if len(self._queue) >= MAX_PIPELINED:
-            self._transport.pause_reading()
 
     # Requests and responses.
 
@@ -260,8 +347,12 @@
         """Send an error response once the requests before it have been answered."""
         if self._refusal is None:
             self._refusal = (status, reason)
+            self._unparsed = memoryview(b"")
+            self._message_bytes = 0
+            self._reset_message()
 
     def _disable_keep_alive(self) -> None:
+        self._unparsed = memoryview(b"")
         if self._queue:
             self._queue[-1].keep_alive = False
 
@@ -269,12 +360,15 @@
         """Start the next request or send a pending refusal, unless a request runs."""
         if self._running is not None or self._phase is Phase.CLOSING:
             return
+        if self._stall is not None:
+            # Each answer would add to those that are not read.
+            return
         if self._queue:
             self._running = self._queue.popleft()
+            self._queued_bytes -= self._running.held_bytes
             self._phase = Phase.ANSWER
             self._deadline = float("inf")
-            if len(self._queue) < MAX_PIPELINED:
-                self._transport.resume_reading()
+            self._parse_pending()
             self._app.handle(self._running)
         elif self._refusal is not None:
             status, reason = self._refusal
@@ -290,13 +384,14 @@
         # stops.
         keep_alive = req.keep_alive and (not self._server.stopping or bool(self._queue))
         self._write_response(resp, keep_alive, req.method == b"HEAD")
-        if not keep_alive:
+        if keep_alive:
+            self._enter_phase(Phase.IDLE)
+        else:
             self.close()
-            return
-        self._enter_phase(Phase.IDLE)
+        self._update_budget()
         if self._queue or self._refusal is not None:
             # Not called directly, because `reply` may be called deep in the stack.
-            asyncio.get_running_loop().call_soon(self._start_next)
+            asyncio.get_running_loop().call_soon(self._advance)
 
     def _write_response(
         self, resp: Response, keep_alive: bool, head_only: bool
@@ -308,22 +403,99 @@
             len(resp.body),
             connection,
         )
-        self._write(head if head_only else head + resp.body)
+        self._write(head, b"" if head_only else resp.body)
 
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+    def _write(self, head: bytes, body: bytes = b"") -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if len(body) > MAX_COPIED_BYTES:
+            self._transport.writelines((head, body))
+        else:
+            self._transport.write(head + body)
+
+    # Bounds.
+
+    def _received_held_bytes(self) -> int:
+        """Return about how much memory is held by what was received and not started."""
+        held = self._queued_bytes
+        if self._unparsed:
+            held += len(self._unparsed.obj)
+        if self._message_bytes or self._fields:
+            held += self._message_held_bytes()
+        return held
+
+    def _message_held_bytes(self) -> int:
+        return REQUEST_BYTES + self._message_bytes + LINE_BYTES * len(self._fields)
+
+    def _update_budget(self) -> None:
+        """Count what the connection holds; it or another one may be shed for that."""
+        if self._transport.is_closing():
+            return
+        held = self._received_held_bytes() + self._transport.get_write_buffer_size()
+        if self._running is not None:
+            held += self._running.held_bytes
+        self._budget.update(self, held)
+
+    def _drop_received(self) -> None:
+        """Drop all that was received and not started."""
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._unparsed = memoryview(b"")
+        self._message_bytes = 0
+        self._reset_message()
+
+    def shed(self) -> None:
+        """Give up what the connection holds, because all hold too much together.
+
+        What has not been started is refused. If that is not what takes the memory, the
+        connection is closed, which promises nothing.
+        """
+        received = self._received_held_bytes()
+        running = self._running.held_bytes if self._running is not None else 0
+        unread = self._stall is not None or self._phase is Phase.CLOSING
+        if unread or self._refusal is not None or received < running:
+            self.cut("memory")
+            return
+        self._budget.release(self)
+        self._drop_received()
+        self._report_closed("memory", received)
+        self._refuse(503, "the requests of all callers take too much memory")
+        self._start_next()
+
+    def cut(self, bound: str) -> None:
+        """Close the connection at once for a bound."""
+        self._report_closed(bound, self._budget.held_by(self))
+        self._transport.abort()
+        # `connection_lost` comes later, when further connections may have been read.
+        self._leave()
+
+    def _report_closed(self, bound: str, held: int) -> None:
+        peer = self._transport.get_extra_info("peername") or ("",)
+        self._budget.on_closed(bound, held, str(peer[0]))
+
+    @property
+    def eviction_key(self) -> tuple[int, float] | None:
+        """Return the rank and age, the lowest of which is closed first.
+
+        None if a request has been received or an answer is not sent.
+        """
+        if self._running is not None or self._queue or self._stall is not None:
+            return None
+        return _EVICTION_RANKS[self._phase], self._phase_since
 
     # Timeouts and closing.
 
     def _enter_phase(self, phase: Phase) -> None:
         self._phase = phase
+        self._phase_since = self._clock.monotonic()
         if phase is Phase.IDLE:
             self._limits = self._app.limits()
             seconds = self._limits.idle_timeout_s
+        elif phase is Phase.CLOSING:
+            seconds = LINGER_S
         else:
             seconds = self._limits.header_timeout_s
-        self._deadline = self._clock.monotonic() + seconds
+        self._deadline = self._phase_since + seconds
 
     @property
     def busy(self) -> bool:
@@ -341,6 +513,9 @@
         An idle connection is closed, an incomplete request is refused, and a closing
         connection is aborted.
         """
+        if self._stall is not None and self._phase is not Phase.CLOSING:
+            self._check_stall(now)
+            return
         if now < self._deadline:
             return
         if self._phase is Phase.CLOSING:
@@ -351,9 +526,19 @@
             self._refuse(408, "the request took too long to come")
             self._start_next()
 
+    def _check_stall(self, now: float) -> None:
+        if self._stall.stalled_s(untaken_bytes(self._transport), now) > STALL_S:
+            self.cut("unread answers")
+        else:
+            self._update_budget()
+
     def finish(self) -> None:
         """Start the queued requests that the handler answers at once, then close."""
-        while self._queue and self._running is None:
+        while (
+            self._queue and self._running is None and self._phase is not Phase.CLOSING
+        ):
+            # The end can't wait for a caller that doesn't read.
+            self._stall = None
             self._start_next()
         self.close()
 
@@ -361,8 +546,9 @@
         """Send buffered data, then close the connection without a reset."""
         if self._phase is Phase.CLOSING:
             return
-        self._phase = Phase.CLOSING
-        self._deadline = self._clock.monotonic() + LINGER_S
+        self._enter_phase(Phase.CLOSING)
+        self._drop_received()
+        self._choose_reading()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write_eof()
 
@@ -373,8 +559,21 @@
     While `stopping` is true, each response carries `Connection: close`.
     """
 
-    def __init__(self, address: tuple[str, int], app: App, clock: Clock):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        app: App,
+        clock: Clock,
+        budget: CallerBudget | None = None,
+        max_connections: int = 0,
+    ):
+        """Create a server; several may share a budget.
+
+        `max_connections` replaces the cap of the budget unless it is 0.
+        """
         super().__init__()
+        self.budget = budget or CallerBudget()
+        self._max_connections = max_connections
         self._app = app
         self._clock = clock
         self._server: asyncio.Server | None = None
@@ -384,6 +583,7 @@
 
     async def on_start(self) -> None:
         """Listen on the address; `address` has the bound port afterwards."""
+        self._check_cap(self._clock.monotonic())
         host, port = self.address
         self._server = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self, self._app, self._clock),
@@ -399,6 +599,7 @@
         while not self.should_stop:
             await self._clock.sleep(DEADLINE_CHECK_INTERVAL_S)
             now = self._clock.monotonic()
+            self._check_cap(now)
             for conn in list(self.connections):
                 try:
                     conn.check_deadline(now)
@@ -406,6 +607,26 @@
                     # The other connections still need their checks.
                     log_unexpected("the deadline of a caller's connection", exc)
 
+    def add(self, conn: CallerConnection) -> None:
+        """Add a new connection; above the cap, the one that is idle longest is closed.
+
+        If none is idle, one that is closing or whose request is incomplete is closed,
+        and else the new one.
+        """
+        cap = self._max_connections or self.budget.max_connections
+        if len(self.connections) >= cap:
+            keys = {other: other.eviction_key for other in self.connections}
+            evictable = [other for other, key in keys.items() if key is not None]
+            if not evictable:
+                conn.cut("connections")
+                return
+            min(evictable, key=keys.__getitem__).cut("connections")
+        self.connections.add(conn)
+
+    def _check_cap(self, now: float) -> None:
+        if not self._max_connections:
+            self.budget.check_descriptors(len(self.connections), now)
+
     @property
     def in_flight(self) -> int:
         """Return the number of connections with an unanswered request."""
--- a/test/transport/test_endless_responses.py
+++ b/test/transport/test_endless_responses.py
@@ -201,6 +201,9 @@
     def setsockopt(self, *args):
         """Accept a socket option."""
 
+    def set_write_buffer_limits(self, high, low):
+        """Accept limits, which nothing that is written reaches."""
+
     def write(self, data):
         """Accept bytes."""
 
