Test and describe the bounds on callers and untaken requests

A closing connection now waits for a reader that makes progress, because the kernel no longer takes whole answers; such a connection counts as busy when the instance stops.

The fingerprint of a request is computed when a connection is lost, not at the end of each large request. maxFds below 264 leaves 64 connections to callers.

--- a/filbertshelf/coordination/routed_request.py
+++ b/filbertshelf/coordination/routed_request.py
@@ -146,22 +146,20 @@
 
     def fingerprint(self, crashes: CrashCounter) -> str:
         """Return the fingerprint; it is the same if the caller repeats the request."""
-        if self._fingerprint:
-            return self._fingerprint
-        host = find_field(self.http_request.fields, b"host") or b""
-        return crashes.fingerprint(
-            host, self.http_request.target, self.http_request.body
-        )
+        if not self._fingerprint:
+            req = self.http_request
+            host = find_field(req.fields, b"host") or b""
+            self._fingerprint = crashes.fingerprint(host, req.target, req.body)
+        return self._fingerprint
 
-    def drop_payload(self, crashes: CrashCounter) -> None:
+    def drop_payload(self) -> None:
         """Drop the headers and the body of a large request that has ended.
 
-        A run is part of reference cycles, so the collector may free it much later.
+        A run is part of reference cycles, so the collector may free it much later. The
+        fingerprint is known afterwards if it was computed before.
         """
         req = self.http_request
         if len(self._head_prefix) + len(req.body) > MAX_KEPT_BYTES:
-            # It may still be needed, when a target turns out to have died.
-            self._fingerprint = self.fingerprint(crashes)
             req.fields, req.body, self._head_prefix = [], b"", b""
 
     def head_for(self, target_id: str, header_names: HeaderNames, now: float) -> bytes:
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -213,7 +213,7 @@
             self._runs.pop(request, None)
             request.http_request.on_disconnect = None
             on_result(result)
-            request.drop_payload(self._context.crashes)
+            request.drop_payload()
 
         return on_end
 
@@ -253,7 +253,7 @@
             self._runs.pop(request, None)
             self._log_disconnect(request)
             run.on_disconnect()
-            request.drop_payload(self._context.crashes)
+            request.drop_payload()
 
         self._runs[request] = run
         request.http_request.on_disconnect = on_disconnect
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -352,6 +352,8 @@
             reason=classification.reason.value,
         )
         if classification.reason is Reason.CONNECTION_LOST:
+            # The request may have ended and dropped its body when the check ends.
+            self._request.fingerprint(self._context.crashes)
             entry.pool.check_alive(self._on_target_death)
         if self._running:
             return
--- a/filbertshelf/transport/http1/caller_budget.py
+++ b/filbertshelf/transport/http1/caller_budget.py
@@ -32,6 +32,8 @@
 """Descriptors for connections that are accepted or closed at the moment, and for those
 to targets that are opened between two checks."""
 
+MIN_CONNECTIONS = 64
+
 DESCRIPTOR_CHECK_S = 1.0
 
 STALL_S = 10.0
@@ -61,13 +63,13 @@
     def max_connections(self, other_descriptors: int) -> float:
         """Return how many connections callers may have.
 
-        A quarter of all descriptors is left to callers, whatever the others need.
+        A quarter of the descriptors is left to callers, whatever the others need.
         """
         if not self.max_descriptors:
             return float("inf")
         reserved = RESERVED_DESCRIPTORS + TRANSIENT_DESCRIPTORS
         usable = max(0, self.max_descriptors - reserved)
-        return max(1, usable // 4, usable - other_descriptors)
+        return max(MIN_CONNECTIONS, usable // 4, usable - other_descriptors)
 
 
 def count_descriptors() -> int:
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -192,15 +192,12 @@
 
     def pause_writing(self) -> None:
         """Start no request and read none until the caller takes its answers."""
-        if self._phase is not Phase.CLOSING:
-            now = self._clock.monotonic()
-            self._stall = StallMeter(untaken_bytes(self._transport), now)
-            self._choose_reading()
+        now = self._clock.monotonic()
+        self._stall = StallMeter(untaken_bytes(self._transport), now)
+        self._choose_reading()
 
     def resume_writing(self) -> None:
         """Go on with the queued requests."""
-        if self._stall is None or self._phase is Phase.CLOSING:
-            return
         self._stall = None
         if self._phase is not Phase.ANSWER:
             # The caller could send nothing meanwhile.
@@ -499,21 +496,19 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being received or waits for its response."""
-        # Between two queued requests the phase is `IDLE`.
-        return bool(self._queue) or self._phase in (
-            Phase.HEAD,
-            Phase.BODY,
-            Phase.ANSWER,
-        )
+        """Return whether a request is being received or its response is not sent."""
+        if self._queue or self._stall is not None:
+            # Between two queued requests the phase is `IDLE`.
+            return True
+        return self._phase in (Phase.HEAD, Phase.BODY, Phase.ANSWER)
 
     def check_deadline(self, now: float) -> None:
         """Act on the deadline of the current phase if it has passed.
 
         An idle connection is closed, an incomplete request is refused, and a closing
-        connection is aborted.
+        connection is aborted. While the caller takes answers, no deadline applies.
         """
-        if self._stall is not None and self._phase is not Phase.CLOSING:
+        if self._stall is not None:
             self._check_stall(now)
             return
         if now < self._deadline:
@@ -527,6 +522,8 @@
             self._start_next()
 
     def _check_stall(self, now: float) -> None:
+        if self._transport.is_closing():
+            return
         if self._stall.stalled_s(untaken_bytes(self._transport), now) > STALL_S:
             self.cut("unread answers")
         else:
--- a/test/platform/test_boundary.py
+++ b/test/platform/test_boundary.py
@@ -34,6 +34,8 @@
     "retryBudgetRatio",
     "budgetMinRetries",
     "graceS",
+    "memoryMb",
+    "maxFds",
 )
 SOURCES = sorted(
     path for path in ROOT.rglob("*.py") if path.parent != ROOT / "platform"
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -51,6 +51,14 @@
     assert cfg.retries.slack == 129.0
     assert cfg.stop_grace_s == 6.0
     assert cfg.shard_cost_us == 400
+    assert (cfg.memory_bytes, cfg.max_descriptors) == (0, 0)
+
+
+def test_the_machine_s_memory_and_descriptors_are_read():
+    doc = settings()
+    doc["limits"] |= {"memoryMb": 152, "maxFds": 1_535}
+    cfg = parse_gateway_settings(doc)
+    assert (cfg.memory_bytes, cfg.max_descriptors) == (152_000_000, 1_535)
 
 
 def test_all_problems_are_reported_together():
