--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -14,6 +14,7 @@
 from filbertshelf import events
 from filbertshelf.clock import BootClock, Clock, SystemClock
 from filbertshelf.coordination.gateway import Gateway
+from filbertshelf.coordination.routed_request import RoutedRequest
 from filbertshelf.errors import SettingsError
 from filbertshelf.explain import find_messages, format_message
 from filbertshelf.gateway_settings import GatewaySettings
@@ -25,7 +26,8 @@
 from filbertshelf.state.retry_window import RetryPolicy
 from filbertshelf.state.routing import Limits
 from filbertshelf.state.withholding import Cause
-from filbertshelf.transport.http1.server import HttpServer
+from filbertshelf.transport.http1.caller_budget import CallerBudget
+from filbertshelf.transport.http1.server import HttpServer, Request
 from test.platform.store_standin import StoreStandin
 from test.transport.serving import serving
 
@@ -575,3 +577,58 @@
     assert [status for status, _, _ in answers] == [200] * 6
     assert target.runs == [b"r%d" % n for n in range(6)]
     assert any(line["event"] == 216 for line in log)
+
+
+async def test_connections_closed_for_a_bound_are_counted_and_some_logged(
+    deployment, log
+):
+    # Guards against a log that grows with each connection of an abusive client.
+    gateway = deployment.gateways[0]
+    for _ in range(100):
+        gateway.budget.on_closed("memory", 5_000, "10.1.2.3")
+    lines = [line for line in log if line["event"] == 220]
+    assert (lines[0]["bound"], lines[0]["bytes"]) == ("memory", 5_000)
+    # The loop may run in two seconds of the clock.
+    assert len(lines) <= 20
+    text = gateway.metrics.render().decode()
+    name = "filbertshelf_connections_closed_by_bound_total"
+    assert f'{name}{{bound="memory"}} 100.0' in text
+
+
+async def test_a_reload_applies_the_memory_and_descriptors(deployment):
+    gateway, source = deployment.gateways[0], deployment.settings[0]
+    source.cfg = attrs.evolve(
+        source.cfg, memory_bytes=200_000_000, max_descriptors=1_535
+    )
+    gateway.reload()
+    await wait_until(lambda: gateway.budget.max_connections < 1_303)
+    gateway.budget.update(FixedHolder(gateway.budget), 41_000_000)
+    assert gateway.budget.total == 0
+
+
+@attrs.define(eq=False)
+class FixedHolder:
+    """Something that is shed completely."""
+
+    budget: CallerBudget
+
+    def shed(self):
+        """Release all bytes."""
+        self.budget.release(self)
+
+
+@pytest.mark.parametrize("size", [100, 100_000])
+async def test_an_ended_request_keeps_its_fingerprint(deployment, size):
+    # Guards against large bodies that reference cycles keep, and against a target's
+    # death that is counted for another request because the body is gone.
+    gateway = deployment.gateways[0]
+    fields = [(b"Host", b"h"), (b"Request-Id", b"r1")]
+    req = Request(b"POST", b"/one/x", fields, b"x" * size, 0.0, True, lambda resp: None)
+    table = gateway.feed.table
+    request = RoutedRequest.make(
+        req, b"r1", table.match("h", "/one/x"), table, 9.0, gateway.context
+    )
+    before = request.fingerprint(gateway.crashes)
+    request.drop_payload()
+    assert len(req.body) == (size if size == 100 else 0)
+    assert request.fingerprint(gateway.crashes) == before
