--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -87,7 +87,7 @@
         """Store the transport and set its TCP options."""
         self._transport = transport
         set_tcp_options(transport, TCP_USER_TIMEOUT_MS)
-        transport.set_write_buffer_limits(high=BUFFERED_BYTES, low=0)
+        self._transport.set_write_buffer_limits(high=BUFFERED_BYTES, low=0)
 
     def pause_writing(self) -> None:
         """Count the request until the server has taken it."""
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -138,7 +138,7 @@
         self._transport = transport
         set_tcp_options(transport, TCP_USER_TIMEOUT_MS)
         # `pause_writing` is called for any answer that the kernel doesn't take at once.
-        transport.set_write_buffer_limits(high=0)
+        self._transport.set_write_buffer_limits(high=0)
         self._server.add(self)
 
     def data_received(self, data: bytes) -> None:
