Close idle connections of callers when others need the descriptors

The cap was checked only for new connections, so that connections to targets could find no descriptor left. The unit tests no longer depend on a short idle time.

--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -38,6 +38,7 @@
 class Owner(Protocol):
     """The pool that a connection belongs to."""
 
+    address: tuple[str, int]
     held: HeldBytes
     untaken: UntakenRequests
 
@@ -273,8 +274,8 @@
 
     def give_up_request(self, bound: str, count: int) -> None:
         """End the exchange, because the server doesn't take the request."""
-        host, port = self._transport.get_extra_info("peername")[:2]
-        self._pool.untaken.on_closed(bound, count, f"{host}:{port}")
+        address = "{}:{}".format(*self._pool.address)
+        self._pool.untaken.on_closed(bound, count, address)
         if self.exchange is None:
             self.abort()
         else:
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import enum
+import heapq
 from collections.abc import Callable
 from typing import Protocol
 
@@ -610,19 +611,32 @@
         If none is idle, one that is closing or whose request is incomplete is closed,
         and else the new one.
         """
-        cap = self._max_connections or self.budget.max_connections
-        if len(self.connections) >= cap:
-            keys = {other: other.eviction_key for other in self.connections}
-            evictable = [other for other, key in keys.items() if key is not None]
-            if not evictable:
-                conn.cut("connections")
-                return
-            min(evictable, key=keys.__getitem__).cut("connections")
-        self.connections.add(conn)
+        if len(self.connections) >= self._cap and not self._evict(1):
+            conn.cut("connections")
+        else:
+            self.connections.add(conn)
+
+    @property
+    def _cap(self) -> float:
+        return self._max_connections or self.budget.max_connections
 
     def _check_cap(self, now: float) -> None:
-        if not self._max_connections:
-            self.budget.check_descriptors(len(self.connections), now)
+        """Adjust the cap, and keep to it if others need more descriptors by now."""
+        if self._max_connections:
+            return
+        self.budget.check_descriptors(len(self.connections), now)
+        excess = len(self.connections) - self._cap
+        if excess > 0:
+            self._evict(int(excess))
+
+    def _evict(self, count: int) -> int:
+        """Close at most `count` connections; return how many were."""
+        keys = {conn: conn.eviction_key for conn in self.connections}
+        evictable = [conn for conn, key in keys.items() if key is not None]
+        chosen = heapq.nsmallest(count, evictable, key=keys.__getitem__)
+        for conn in chosen:
+            conn.cut("connections")
+        return len(chosen)
 
     @property
     def in_flight(self) -> int:
--- a/test/transport/test_caller_bounds.py
+++ b/test/transport/test_caller_bounds.py
@@ -29,6 +29,7 @@
         self.held = []
         self.disconnected = []
         self.handled = 0
+        self.idle_timeout_s = 30.0
 
     def handle(self, req):
         """Answer or hold the request."""
@@ -40,8 +41,8 @@
             req.reply(Response(200, (), self.body))
 
     def limits(self):
-        """Return limits that only `test_a_large_head` comes near."""
-        return Limits(header_bytes=131_072, idle_timeout_s=0.6)
+        """Return the limits."""
+        return Limits(header_bytes=131_072, idle_timeout_s=self.idle_timeout_s)
 
     def record_rejection(self, status, reason):
         """Ignore a refusal."""
@@ -187,6 +188,7 @@
     # Guards against counting the kernel's pace for a stall, and against the end of the
     # linger or idle time, both of which are shorter than the transfer.
     monkeypatch.setattr(server_module, "STALL_S", 1.0)
+    app.idle_timeout_s = 0.6
     app.body = ANSWER
     get = GET[:-2] + b"Connection: %b\r\n\r\n" % option
     count = 0
@@ -219,6 +221,17 @@
     assert closed == ["connections"] * 2
 
 
+async def test_a_lower_cap_closes_idle_connections(server, closed):
+    # Guards against connections to targets that find no descriptor left.
+    async with connection(server), connection(server), connection(server, b"G"):
+        await until(lambda: sum(conn.busy for conn in server.connections) == 1)
+        await until(lambda: len(server.connections) == 3)
+        server.budget.max_connections = 1
+        await until(lambda: len(server.connections) == 1)
+        assert server.in_flight == 1
+    assert closed == ["connections"] * 2
+
+
 async def test_an_incomplete_request_makes_room(server, app):
     # Guards against callers that send one byte so as not to count as idle.
     server.budget.max_connections = 1
