--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -370,7 +370,9 @@
             reason=classification.reason.value,
         )
         if classification.reason is Reason.CONNECTION_LOST and not entry.evacuated:
-            # Targets of an evacuated data centre may be stopped on purpose.
+            # Targets of an evacuated data centre may be stopped on purpose. The request
+            # may have ended and dropped its body when the check ends.
+            self._request.fingerprint(self._context.crashes)
             entry.pool.check_alive(self._on_target_death)
         if self._running:
             return
--- a/filbertshelf/platform/settings.py
+++ b/filbertshelf/platform/settings.py
@@ -17,6 +17,8 @@
 from filbertshelf.state.delegation import shard_cost_us
 from filbertshelf.state.retry_window import RetryPolicy
 
+BYTES_PER_MB = 1_000_000
+
 FLEET_KEY = "filbertshelf-on-a-private-network"
 """The same for all fleets: the platform provides no secret, and only its own machines
 can connect to its private network."""
@@ -81,6 +83,8 @@
     )
     cores = reader.number("limits", "cpuShare") * reader.number("limits", "cores")
     link_mbps = reader.number("limits", "linkMbps")
+    memory_mb = reader.number("limits", "memoryMb", default=0.0)
+    max_descriptors = reader.number("limits", "maxFds", default=0.0)
     host = reader.text("ip")
     grace = reader.number("bounds", "graceS")
     if reader.problems:
@@ -103,6 +107,8 @@
         cold=cold,
         shard_cost_us=shard_cost_us(cores, link_mbps) if cores and link_mbps else 0,
         regions=_regions(doc),
+        memory_bytes=int(memory_mb * BYTES_PER_MB),
+        max_descriptors=int(max_descriptors),
         stop_grace_s=grace,
     )
 
--- a/filbertshelf/state/selection.py
+++ b/filbertshelf/state/selection.py
@@ -13,6 +13,10 @@
 REMOTE_FACTOR = 2.0
 """The cost factor of a target in another data centre, where transfer costs more."""
 
+SHARED_SLOT_WEIGHT = 0.5
+"""What a request in flight adds to the queue of a target with several slots. It isn't
+the share of a slot, because other instances use the slots too."""
+
 NEW_TARGET_FACTOR = 1.5
 """The assumed latency of a target without answers, relative to its fastest sibling."""
 
@@ -47,18 +51,19 @@
     def expected_s(self, now: float, default_s: float = DEFAULT_LATENCY_S) -> float:
         """Return the expected seconds until the target answers one more request.
 
-        It is the target's latency times the length of its queue, in which each request
-        in flight counts as the share of the target's slots that it takes; `default_s`
-        is the latency without an answer so far. If the oldest running sub-request has
-        waited for longer than that latency, the target may have stalled and the waiting
-        time is used instead.
+        It is the target's latency times the length of its queue, in which a request in
+        flight counts less if the target has several slots; `default_s` is the latency
+        without an answer so far. If the oldest running sub-request has waited for
+        longer than that latency, the target may have stalled and the waiting time is
+        used instead.
         """
         state = self.state
         in_flight = state.in_flight
         per_request = (
             state.cost_at(now) / (in_flight + 1) if state.latency_s else default_s
         )
-        queue = 1.0 + in_flight / max(1, state.target.slots)
+        weight = 1.0 if state.target.slots < 2 else SHARED_SLOT_WEIGHT
+        queue = 1.0 + weight * in_flight
         if self.oldest_start is not None:
             per_request = max(per_request, self.waiting_s(now))
         if not self.can_connect:
--- a/test/platform/test_boundary.py
+++ b/test/platform/test_boundary.py
@@ -42,6 +42,8 @@
     "retryBudgetRatio",
     "budgetMinRetries",
     "graceS",
+    "memoryMb",
+    "maxFds",
 )
 SOURCES = sorted(
     path for path in ROOT.rglob("*.py") if path.parent != ROOT / "platform"
