Start requests only while their targets have room, where routes differ in priority

Cause: at several times the traffic that targets can do, a query was started on all shards and failed because a few of them were full, so the capacity that it used was wasted.

Change: an adaptive limit on the work in flight for each group of services, judged by refusals that cost queries their coverage and by the median shard latency. Above it, requests wait in the order of priority, objective and work, or are refused with 503 and have not run. It applies only to services that routes of different priorities use.

--- a/filbertshelf/coordination/delegated_request.py
+++ b/filbertshelf/coordination/delegated_request.py
@@ -151,6 +151,7 @@
             self._request.table.version,
             self._max_targets,
             self._sender_cut_off,
+            self._delegation.data_centre,
         )
 
     def _log(self, member: Member, reply: DelegationReply) -> None:
--- a/filbertshelf/coordination/forward.py
+++ b/filbertshelf/coordination/forward.py
@@ -91,6 +91,8 @@
 
     def on_answered(self, call: ShardCall) -> None:
         """Return the target's answer to the caller."""
+        if self._request.room is not None:
+            self._request.room.on_shard_answered()
         exchange = call.answer
         fields = tuple(end_to_end_fields(exchange.fields, _FRAMING_FIELDS))
         self._finish(
@@ -102,6 +104,8 @@
 
         The status of the refusal says whether the request may have run.
         """
+        if self._request.room is not None:
+            self._request.room.on_shard_failed(call.sub_requests, call.refusals)
         failure = call.failure
         if failure is not None and failure.status not in _NOT_RUN_STATUSES:
             fields = tuple(end_to_end_fields(failure.fields, _FRAMING_FIELDS))
@@ -110,6 +114,10 @@
         else:
             self._refuse(make_refusal([call]))
 
+    def is_needed(self, call: ShardCall) -> bool:
+        """Return whether the request needs the answer of the call."""
+        return True
+
     def on_resume(self) -> None:
         """End the request if its deadline passed while the process was paused."""
         if (
--- a/filbertshelf/coordination/gather.py
+++ b/filbertshelf/coordination/gather.py
@@ -123,6 +123,8 @@
     def on_answered(self, call: ShardCall) -> None:
         """Record that a shard has answered."""
         self._trim(call.answer)
+        if self._request.room is not None:
+            self._request.room.on_shard_answered()
         self._answered += 1
         self._outstanding -= 1
         self._check_answers()
@@ -136,9 +138,16 @@
 
     def on_failed(self, call: ShardCall) -> None:
         """Record that a shard is missing."""
+        if self._request.room is not None:
+            self._request.room.on_shard_failed(call.sub_requests, call.refusals)
         self._outstanding -= 1
         self._check_answers()
 
+    def is_needed(self, call: ShardCall) -> bool:
+        """Return whether the coverage can't be reached without a shard."""
+        outstanding = self._outstanding - 1
+        return self._rule.cannot_reach_coverage(self._answered, outstanding)
+
     # Decisions.
 
     def _can_reach_coverage(self, now: float) -> bool:
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -5,6 +5,7 @@
 import collections
 import math
 import random
+import statistics
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from filbertshelf import events
@@ -227,7 +228,7 @@
 
     def _apply_limits(self, service: ServiceTargets) -> None:
         role = self._role
-        instance_count = role.gather_instances if service.is_shard else role.instances
+        instance_count = self._instances_for(service)
         quota = max(1, int(CONNECTION_SHARE * service.connections / instance_count))
         for entry in service.entries.values():
             entry.pool.quota = quota
@@ -239,6 +240,20 @@
         for entry in service.entries.values():
             entry.rate.set_instances(instance_count, now)
 
+    def slots_share(self, services: Collection[str]) -> float:
+        """Return this instance's share of the slots that most of the services list."""
+        slots = []
+        for name in services:
+            service = self._service_targets(name)
+            listed = sum(entry.listed.slots for entry in service.entries.values())
+            slots.append(listed / self._instances_for(service))
+        return statistics.median(slots)
+
+    def _instances_for(self, service: ServiceTargets) -> int:
+        """Return the highest number of instances that may send to a service."""
+        role = self._role
+        return role.gather_instances if service.is_shard else role.instances
+
     # Interface for requests.
 
     def count_request(self, service: str, now: float) -> None:
--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -7,9 +7,13 @@
 
 import attrs
 
-from filbertshelf.coordination.call_results import NO_TARGET_RETRY_AFTER_S
+from filbertshelf.coordination.call_results import (
+    BUSY_RETRY_AFTER_S,
+    NO_TARGET_RETRY_AFTER_S,
+)
 from filbertshelf.coordination.delegated_request import DelegatedRequest
 from filbertshelf.coordination.delegation import Delegation, max_targets_of_sender
+from filbertshelf.coordination.room import RoomControl
 from filbertshelf.coordination.routed_request import (
     RoutedRequest,
     RoutedResult,
@@ -64,6 +68,7 @@
         make_local: MakeLocalRunner,
         on_result: Callable[[RoutedResult], None],
         may_delegate: bool = True,
+        room: RoomControl | None = None,
     ):
         """Prepare the run; without `may_delegate` it starts here in any case."""
         self._context = context
@@ -71,6 +76,9 @@
         self._request = request
         self._make_local = make_local
         self._on_result = on_result
+        self._room = room
+        self._waiting = False
+        """Whether the request waits for room on the targets."""
         self._may_delegate = may_delegate
         self._local: LocalRunner | None = None
         self._delegated: DelegatedRequest | None = None
@@ -102,9 +110,13 @@
         runner = self._local or self._delegated
         if runner is not None:
             runner.on_disconnect()
+        self._release_room()
 
     def on_resume(self) -> None:
         """End the request if its deadline passed while the process was paused."""
+        now = self._context.clock.monotonic()
+        if self._waiting and now >= self._request.deadline:
+            self._stop_waiting()
         runner = self._local or self._delegated
         if runner is not None:
             runner.on_resume()
@@ -112,14 +124,19 @@
     def on_cut_off(self) -> None:
         """Move the request to another instance, because no target is reached here."""
         has_failed = self._failed_result is not None
-        if self._local is not None and not self._ended and not has_failed:
+        if self._waiting:
+            self._release_room()
+            self._move(self._request.max_targets)
+        elif self._local is not None and not self._ended and not has_failed:
             self._hand_over()
 
     def on_stop(self) -> None:
         """End the request now, because this instance stops."""
         self._stopping = True
         runner = self._local or self._delegated
-        if self._failed_result is not None:
+        if self._waiting:
+            self._stop_waiting()
+        elif self._failed_result is not None:
             self._finish(self._failed_result)
         elif runner is not None:
             runner.on_stop()
@@ -127,11 +144,42 @@
     # Running here.
 
     def _start_local(self) -> None:
+        """Start the request here as soon as its targets have room."""
+        if self._room is None:
+            self._start_runner()
+            return
+        self._waiting = True
+        self._room.acquire(self._request, self._start_runner, self._on_refused)
+
+    def _release_room(self) -> None:
+        """Give back the room of a request that doesn't run or wait here any more."""
+        self._waiting = False
+        if self._room is not None:
+            self._room.release(self._request)
+
+    def _stop_waiting(self) -> None:
+        """Refuse the request, which waits and has not run."""
+        self._release_room()
+        refusal = error_response(503, BUSY_RETRY_AFTER_S)
+        self._on_refused(RoutedResult(refusal, "not run", 0, 0))
+
+    def _on_refused(self, result: RoutedResult) -> None:
+        self._waiting = False
+        self._finish(result)
+
+    def _start_runner(self) -> None:
+        self._waiting = False
         self._local = self._make_local(self._on_local_result)
         self._local.start()
 
     def _on_local_result(self, result: RoutedResult) -> None:
         """Return the result, unless another instance may still serve the request."""
+        try:
+            self._return_or_move(result)
+        finally:
+            self._release_room()
+
+    def _return_or_move(self, result: RoutedResult) -> None:
         may_move = result.outcome in FAILED_OUTCOMES and not self._stopping
         if not may_move or not self._reachability.suspected:
             self._finish(result)
@@ -156,6 +204,7 @@
         asked = self._local.hand_over()
         if asked is None:
             return False
+        self._release_room()
         self._may_have_run = self._may_have_run or asked > 0
         self._move(self._request.max_targets - asked)
         return True
--- a/filbertshelf/coordination/routed_request.py
+++ b/filbertshelf/coordination/routed_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -24,6 +24,9 @@
 from filbertshelf.transport.http1.message_bounds import MAX_BODY_BYTES
 from filbertshelf.transport.http1.server import Request
 
+if TYPE_CHECKING:
+    from filbertshelf.coordination.room import RoomClaim
+
 RETURN_MARGIN_S = 0.015
 """Network time of a request to the gateway and of the answer back to the caller."""
 
@@ -89,6 +92,12 @@
     return_margin_s: float = RETURN_MARGIN_S
     """Seconds before the latency objective at which the answer must be sent at the
     latest."""
+    data_centre: str = ""
+    """The data centre of the instance that has the caller, "" if it is unknown."""
+    service: str = ""
+    """The service that was chosen for a single request before it starts."""
+    room: RoomClaim | None = None
+    """Its part of the targets' capacity, None where admission is not controlled."""
     _head_prefix: bytes = b""
 
     @classmethod
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -20,6 +20,7 @@
 from filbertshelf.coordination.forward import Forward
 from filbertshelf.coordination.gather import Gather
 from filbertshelf.coordination.request_run import LocalRunner, RequestRun
+from filbertshelf.coordination.room import RoomControl
 from filbertshelf.coordination.routed_request import (
     RETURN_MARGIN_S,
     RoutedRequest,
@@ -76,6 +77,14 @@
         self._rng = rng
         self._service_sequences: dict[str, WeightedServiceSequence] = {}
         self._runs: dict[RoutedRequest, RequestRun] = {}
+        self._room = RoomControl(
+            context.clock,
+            context.call_later,
+            context.targets,
+            metrics,
+            rng,
+            self._choose_service,
+        )
         self.stopping = False
         self._closed = False
 
@@ -146,9 +155,11 @@
         if route is None:
             return _Refusal(404, "no route matches")
         deadline = req.received_at + min(caller_timeout_s, route.timeout_s)
-        return RoutedRequest.make(
+        request = RoutedRequest.make(
             req, request_id, route, table, deadline, self._context
         )
+        request.data_centre = self._delegation.data_centre
+        return request
 
     def _caller_timeout_s(self, req: Request) -> float | None:
         """Return the caller's timeout in seconds, or None if it is malformed."""
@@ -193,6 +204,7 @@
         route = request.route
         left = targets_left(route, msg)
         request.max_targets = left - max_targets_of_sender(route, left)
+        request.data_centre = msg.data_centre
         request.return_margin_s = RETURN_MARGIN_S + HOP_RETURN_MARGIN_S
 
         def log_and_report(result: RoutedResult) -> None:
@@ -235,6 +247,7 @@
             lambda on_end: self._make_local_runner(request, on_end),
             self._with_cleanup(request, on_result or reply_and_log),
             may_delegate,
+            self._room,
         )
 
     def _make_local_runner(
@@ -242,10 +255,13 @@
     ) -> LocalRunner:
         if request.route.gather is not None:
             return Gather(self._context, request, on_result)
-        weighted = self._service_sequence(request).next_service(
-            request.route.weighted_services
-        )
-        return Forward(self._context, request, weighted.service, on_result)
+        service = request.service or self._choose_service(request)
+        request.service = ""
+        return Forward(self._context, request, service, on_result)
+
+    def _choose_service(self, request: RoutedRequest) -> str:
+        sequence = self._service_sequence(request)
+        return sequence.next_service(request.route.weighted_services).service
 
     def _start_run(self, request: RoutedRequest, run: RequestRun) -> None:
         def on_disconnect() -> None:
@@ -270,6 +286,9 @@
             crashes.clear(request.fingerprint(crashes))
         elapsed = self._context.clock.monotonic() - request.http_request.received_at
         self._count_result(request, result, elapsed)
+        waited = {}
+        if request.room is not None and request.room.waited_s:
+            waited["waited_ms"] = round(request.room.waited_s * 1000, 1)
         events.emit(
             events.ROUTED_REQUEST_ENDED,
             request_id=request.text_id,
@@ -284,6 +303,7 @@
             slowest=result.slowest,
             age_s=round(self._feed.age_s(), 2),
             left_out=request.log_limit.left_out,
+            **waited,
         )
 
     def _count_result(
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -15,7 +15,7 @@
 from filbertshelf.coordination.target_entries import TargetEntry
 from filbertshelf.protocol.target_responses import Classification
 from filbertshelf.state.hedging import is_worthwhile
-from filbertshelf.state.outcome import Reason, Result
+from filbertshelf.state.outcome import OVERLOAD_REASONS, Reason, Result
 from filbertshelf.state.routing import Repeat
 from filbertshelf.transport.http1.connection import HttpConnection
 from filbertshelf.transport.http1.exchange import (
@@ -50,6 +50,9 @@
     def on_failed(self, call: ShardCall) -> None:
         """Handle the end of the call without an answer."""
 
+    def is_needed(self, call: ShardCall) -> bool:
+        """Return whether the request can't be answered without the call's answer."""
+
 
 class ShardCall:
     """Asks targets of one service until one answers or no attempt is left."""
@@ -70,6 +73,8 @@
         self.may_have_run = False
         self.closed = False
         self.sub_requests = 0
+        self.refusals = 0
+        """How many targets refused for lack of capacity."""
         self.answered_by = ""
         self.latency_s = 0.0
         self.returns_in_s = 0.0
@@ -131,7 +136,9 @@
             return False
         budget = self._context.targets.budget(self.service)
         budget_left = budget.remaining_for_hedges(now)
-        if not self._may_send_more():
+        if self._request.room is not None and self._request.room.others_wait:
+            decision = "withheld: requests wait for room"
+        elif not self._may_send_more():
             decision = "withheld: the route allows no further target"
         elif budget_left < 1.0:
             decision = "withheld: the retry budget is used up"
@@ -256,6 +263,8 @@
             avoid=self._used_connections,
         )
         self._running[exchange] = entry
+        if is_extra and request.room is not None:
+            request.room.on_extra_sent()
         self._context.targets.send(entry, exchange, now, is_extra)
 
     # Reading the heads of responses.
@@ -341,6 +350,8 @@
         self.reason = classification.reason
         if classification.result is Result.UNKNOWN:
             self.may_have_run = True
+        if classification.reason in OVERLOAD_REASONS:
+            self.refusals += 1
         if classification.stamp:
             self.failure = exchange
         self._log(
@@ -396,6 +407,9 @@
             may_have_run and not self._repeatable
         ):
             return False
+        room = self._request.room
+        if room is not None and room.others_wait and not self._listener.is_needed(self):
+            return False
         # What no target can have received is no repeat.
         if self._may_send_more() and self._try_send(now, bool(self._sent_to)):
             return True
--- a/filbertshelf/events/requests.py
+++ b/filbertshelf/events/requests.py
@@ -107,6 +107,7 @@
     "slowest",
     "age_s",
     "left_out",
+    "waited_ms",
 )
 ROUTED_REQUEST_REFUSED = define(
     210,
@@ -176,3 +177,42 @@
     "count",
     level=Level.WARNING,
 )
+REQUEST_WAITS = define(
+    217,
+    "request-waits",
+    "The targets of the request have no room; it waits.",
+    "request_id",
+    "route",
+    "group",
+    "priority",
+    "work_ms",
+    "predicted_ms",
+    "waiting",
+)
+REQUEST_WITHOUT_ROOM = define(
+    218,
+    "request-without-room",
+    "The request was refused for want of room on its targets, and has not run.",
+    "request_id",
+    "route",
+    "group",
+    "reason",
+    "displaced_by",
+    "priority",
+    "waited_ms",
+    "predicted_ms",
+    "work_ms",
+    level=Level.WARNING,
+)
+ROOM_LIMIT_CHANGED = define(
+    219,
+    "room-limit-changed",
+    "The limit on the work in flight at a group of services changed; at most one line "
+    "a second for a group.",
+    "group",
+    "before_ms",
+    "after_ms",
+    "running_ms",
+    "waiting",
+    "reason",
+)
--- a/filbertshelf/gateway_metrics.py
+++ b/filbertshelf/gateway_metrics.py
@@ -77,6 +77,31 @@
             registry=registry,
         )
 
+        self.room_refusals = Counter(
+            "filbertshelf_room_refusals",
+            "Requests that were refused for want of room on the targets.",
+            ("route",),
+            registry=registry,
+        )
+        self.room_waiting = Gauge(
+            "filbertshelf_room_waiting",
+            "Requests that wait for room on the targets.",
+            ("group",),
+            registry=registry,
+        )
+        self.room_limit = Gauge(
+            "filbertshelf_room_limit_seconds",
+            "Limit on the work in flight, +Inf while there is none.",
+            ("group",),
+            registry=registry,
+        )
+        self.room_running = Gauge(
+            "filbertshelf_room_running_seconds",
+            "Work in flight, in seconds of one target.",
+            ("group",),
+            registry=registry,
+        )
+
     def add_gauge(
         self, name: str, help_text: str, read_value: Callable[[], float]
     ) -> None:
--- a/filbertshelf/protocol/delegation.py
+++ b/filbertshelf/protocol/delegation.py
@@ -18,7 +18,7 @@
     configuration that its route comes from. `max_targets` is how many targets of each
     service may still be sent the request, 0 if as many as the route allows. With
     `needs_contact`, the sender reaches no target, and the receiver takes the request
-    only if it does.
+    only if it does. `data_centre` is that of the sender, "" from an older build.
     """
 
     key: str
@@ -30,6 +30,7 @@
     version: int
     max_targets: int = 0
     needs_contact: bool = False
+    data_centre: str = ""
 
 
 @message("delegation-reply")
--- /dev/null
+++ b/filbertshelf/state/room.py
@@ -0,0 +1,494 @@
+"""Admission by cost: the capacity of a group of services and the requests that wait.
+
+A group is the set of services that a request uses: the shards of a query, or one
+service. Work is measured in seconds that one target spends on a request. All times are
+monotonic seconds.
+"""
+
+from __future__ import annotations
+
+import bisect
+import enum
+import math
+import statistics
+from collections.abc import Iterator
+
+import attrs
+
+from filbertshelf.clock import Clock
+from filbertshelf.state.limits import AVERAGE_WEIGHT, INFLATION_FACTOR, LatencyFloor
+from filbertshelf.state.routing import Route
+
+DEFAULT_WORK_S = 0.02
+"""The assumed work of a route before its first answer."""
+
+MIN_WINDOW_S = 0.05
+MIN_SAMPLES = 5
+"""The shortest time and the fewest latencies from which congestion is judged."""
+
+MIN_OBJECTIVE_SHARE = 0.12
+"""A latency below this share of the objective does no harm, however it compares with
+the floor. Jitter of a busy machine may double a latency of some milliseconds."""
+
+CONGESTED_WINDOWS = 2
+"""Consecutive congested windows before a group without a limit gets one. The answers
+that arrive late after a pause or a broken link are all in one window."""
+
+MIN_BUSY_SHARE = 0.1
+"""Targets that do less than this share of what their slots can do don't refuse or
+delay requests because of this instance's load; most are paused or out of reach."""
+
+MAX_SHORT_SHARE = 0.2
+"""The highest share of a window's requests that may fail for lack of capacity without
+being taken for overload."""
+
+DECREASE_FACTOR = 0.85
+MAX_DECREASE_FACTOR = 0.5
+INCREASE_FACTOR = 1.15
+"""The factors of one change of the limit, at most one in each round trip."""
+
+MAX_WAITING = 256
+"""The maximum number of waiting requests of a group."""
+
+FAIR_RATIO = 1 / 3
+"""A route whose ratio of started to offered requests is below this share of the ratio
+of all routes goes first. The least share that is promised is a quarter."""
+
+HALF_LIFE_S = 2.0
+"""The time after which offered and started requests count half."""
+
+TAIL_FACTOR = 2.0
+"""The time until a query is answered, as a multiple of the time until half of its
+shards have answered."""
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_SPREAD = 0.5
+HONOURED_SHARE = 1 / 3
+"""The share of their remaining time that callers wait before they come back."""
+
+
+class RoomChange(enum.Enum):
+    """Why a limit changed."""
+
+    REFUSALS = "targets refused"
+    LATENCY = "latency is inflated"
+    USE = "the limit is used"
+
+
+class RouteLoad:
+    """The typical latencies of a route's targets, and its ratio of started requests.
+
+    The latency of a query is the time until half of its shards have answered, so that
+    some slow shards or paused targets don't count as load.
+    """
+
+    __slots__ = (
+        "_floor",
+        "_lowered_s",
+        "average_s",
+        "objective_s",
+        "offered",
+        "priority",
+        "ran",
+    )
+
+    def __init__(self, clock: Clock):
+        self.objective_s = 0.0
+        self.priority = 0
+        self.average_s = 0.0
+        self.offered = DecayingCount()
+        self.ran = DecayingCount()
+        self._floor = LatencyFloor(clock)
+        self._lowered_s = math.inf
+
+    @property
+    def work_s(self) -> float:
+        """Return the typical unloaded latency per target in seconds."""
+        return min(self._floor.floor, self._lowered_s) or DEFAULT_WORK_S
+
+    @property
+    def typical_s(self) -> float:
+        """Return how long a request of the route takes at present."""
+        return TAIL_FACTOR * (self.average_s or self.work_s)
+
+    def record(self, seconds: float, limited: bool) -> None:
+        """Add a latency; a `limited` group says nothing about the unloaded latency."""
+        average = self.average_s
+        self.average_s += AVERAGE_WEIGHT * (seconds - average) if average else seconds
+        if not limited or not self._floor.floor:
+            self._lowered_s = math.inf
+            self._floor.record(seconds)
+        else:
+            self._lowered_s = min(self._lowered_s, self.average_s)
+
+    def inflation(self, seconds: float) -> float:
+        """Return a latency as a multiple of the highest one that is no sign of load."""
+        harmless_s = max(
+            INFLATION_FACTOR * self.work_s, MIN_OBJECTIVE_SHARE * self.objective_s
+        )
+        return seconds / harmless_s
+
+
+class DecayingCount:
+    """A number of requests in which old ones count less."""
+
+    __slots__ = ("_at", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._at = -math.inf
+
+    def add(self, now: float, count: float = 1.0) -> None:
+        """Add requests."""
+        self._value = max(0.0, self.value(now) + count)
+        self._at = now
+
+    def value(self, now: float) -> float:
+        """Return the number."""
+        if not self._value:
+            return 0.0
+        return self._value * 0.5 ** ((now - self._at) / HALF_LIFE_S)
+
+    def per_s(self, now: float) -> float:
+        """Return the recent number a second."""
+        return self.value(now) * math.log(2) / HALF_LIFE_S
+
+
+class RoomAccount:
+    """The limit of one group on the work in flight from this instance.
+
+    The group has no limit until targets are overloaded, so that nothing waits before.
+    """
+
+    __slots__ = (
+        "_congested_windows",
+        "_done",
+        "_done_s",
+        "_ended",
+        "_ratios",
+        "_short",
+        "_used",
+        "_window_at",
+        "done_per_s",
+        "limit_s",
+        "minimum_s",
+        "running_s",
+        "work_s",
+    )
+
+    def __init__(self, now: float):
+        self.limit_s = math.inf
+        self.minimum_s = 0.0
+        """The lowest limit: the fair share of the targets' slots."""
+        self.running_s = 0.0
+        self.done_per_s = 0.0
+        """The work a second that targets have done of late, 0.0 if it is unknown."""
+        self.work_s = DEFAULT_WORK_S
+        """The work of the average request of late."""
+        self._congested_windows = 0
+        self._start_window(now)
+
+    def _start_window(self, now: float) -> None:
+        self._window_at = now
+        self._ratios: list[float] = []
+        self._ended = 0
+        self._short = 0
+        self._done = 0
+        self._done_s = 0.0
+        self._used = False
+
+    @property
+    def limited(self) -> bool:
+        """Return whether the group has a limit above its lowest one."""
+        return self.minimum_s < self.limit_s < math.inf
+
+    def has_room(self, work_s: float) -> bool:
+        """Return whether a request may start; one always may if none runs."""
+        if self.running_s <= 0.0 or self.running_s + work_s <= self.limit_s:
+            return True
+        self._used = True
+        return False
+
+    def add(self, work_s: float) -> None:
+        """Count work that starts."""
+        self.running_s += work_s
+
+    def remove(self, work_s: float) -> None:
+        """Count work that ends."""
+        # Rounding errors must not add up to running work when nothing runs.
+        self.running_s = max(0.0, self.running_s - work_s)
+        if self.running_s < 1e-9:
+            self.running_s = 0.0
+
+    def record_latency(
+        self, started_at: float, work_s: float, inflation: float
+    ) -> None:
+        """Record that half of a request's shards have answered."""
+        self._done += 1
+        self._done_s += work_s
+        # Requests that started before the last change still reflect the load then.
+        if started_at >= self._window_at:
+            self._ratios.append(inflation)
+
+    def record_end(self, started_at: float, short: bool) -> None:
+        """Record the end of a request; a `short` one found too few free targets."""
+        if started_at >= self._window_at:
+            self._ended += 1
+            self._short += short
+
+    def adjust(self, now: float) -> RoomChange | None:
+        """Change the limit if a round trip is over, and return why it changed."""
+        elapsed_s = now - self._window_at
+        if (
+            elapsed_s < MIN_WINDOW_S
+            or max(len(self._ratios), self._ended) < MIN_SAMPLES
+        ):
+            return None
+        self.done_per_s = self._done_s / elapsed_s
+        if self._done:
+            self.work_s = self._done_s / self._done
+        cause = self._congestion()
+        used = self._used
+        self._start_window(now)
+        if cause is None:
+            self._congested_windows = 0
+            return self._raise() if used else None
+        self._congested_windows += 1
+        return self._lower(cause)
+
+    def _congestion(self) -> RoomChange | None:
+        if self.done_per_s * self.work_s < MIN_BUSY_SHARE * self.minimum_s:
+            return None
+        if self._ended and self._short > MAX_SHORT_SHARE * self._ended:
+            return RoomChange.REFUSALS
+        if self._ratios and statistics.median(self._ratios) > 1.0:
+            return RoomChange.LATENCY
+        return None
+
+    def _lower(self, cause: RoomChange) -> RoomChange | None:
+        before = self.limit_s
+        # Congested targets do as much as they can. This is the work in flight if each
+        # request then takes the highest latency that is no sign of congestion.
+        enough_s = self.done_per_s * INFLATION_FACTOR * self.work_s
+        if before < math.inf:
+            least_s = MAX_DECREASE_FACTOR * before
+            lowered_s = max(least_s, min(DECREASE_FACTOR * before, enough_s))
+        elif self._congested_windows >= CONGESTED_WINDOWS:
+            lowered_s = min(self.running_s, enough_s)
+        else:
+            return None
+        self.limit_s = max(self.minimum_s, lowered_s)
+        return cause if self.limit_s < before else None
+
+    def _raise(self) -> RoomChange:
+        self.limit_s *= INCREASE_FACTOR
+        return RoomChange.USE
+
+    def drain_per_s(self) -> float:
+        """Return the work a second that becomes free for waiting requests."""
+        if self.done_per_s:
+            return self.done_per_s
+        in_flight_s = max(self.minimum_s, min(self.limit_s, self.running_s))
+        return in_flight_s / (INFLATION_FACTOR * self.work_s)
+
+
+@attrs.define(eq=False)
+class WaitingRequest:
+    """A request that waits until its group has room."""
+
+    request_id: str
+    route: str
+    data_centre: str
+    priority: int
+    objective_at: float
+    deadline: float
+    protected_at: float
+    """From then on no newer request of the same priority displaces it."""
+    load: RouteLoad
+    arrived_at: float
+
+    @property
+    def work_s(self) -> float:
+        """Return the work of the request."""
+        return self.load.work_s
+
+    def meets_objective(self, now: float) -> bool:
+        """Return whether it can be answered within the objective if it starts now."""
+        return now + self.load.typical_s <= self.objective_at
+
+
+Rank = tuple[bool, int, bool, bool, float, float]
+"""The order of waiting requests; the lowest one starts first."""
+
+
+class WaitingRequests:
+    """The waiting requests of one group, in the order of the cost of refusing them."""
+
+    __slots__ = ("_by_source", "_count", "_loads", "_offered", "_ran", "_started_s")
+
+    def __init__(self) -> None:
+        self._offered = DecayingCount()
+        self._ran = DecayingCount()
+        self._by_source: dict[tuple[str, str], list[WaitingRequest]] = {}
+        """The requests of each route and data centre, the earliest objective first."""
+        self._count = 0
+        self._loads: dict[str, RouteLoad] = {}
+        self._started_s: dict[str, DecayingCount] = {}
+        """The work that was started for each data centre of callers."""
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        for queue in self._by_source.values():
+            yield from queue
+
+    def load(self, route: Route, clock: Clock) -> RouteLoad:
+        """Return the load of a route; a new one starts without statistics."""
+        load = self._loads.get(route.name)
+        if load is None:
+            load = self._loads[route.name] = RouteLoad(clock)
+        load.objective_s = route.latency_objective_s
+        load.priority = route.priority
+        return load
+
+    def heaviest_s(self) -> float:
+        """Return the work of the heaviest route."""
+        return max((load.work_s for load in self._loads.values()), default=0.0)
+
+    def mean_work_s(self, now: float) -> float:
+        """Return the work of an average request."""
+        offered = self._offered.value(now)
+        if not offered:
+            return DEFAULT_WORK_S
+        loads = self._loads.values()
+        return sum(load.work_s * load.offered.value(now) for load in loads) / offered
+
+    def record_offer(self, load: RouteLoad, now: float) -> None:
+        """Count a request that arrives."""
+        load.offered.add(now)
+        self._offered.add(now)
+
+    def record_failure(self, load: RouteLoad, now: float) -> None:
+        """Count a request that was started in vain, as if it had not been."""
+        load.ran.add(now, -1.0)
+        self._ran.add(now, -1.0)
+
+    def record_start(self, load: RouteLoad, data_centre: str, now: float) -> None:
+        """Count a request that starts."""
+        load.ran.add(now)
+        self._ran.add(now)
+        count = self._started_s.setdefault(data_centre, DecayingCount())
+        count.add(now, load.work_s)
+
+    def displaced_by(self, request: WaitingRequest, now: float) -> WaitingRequest:
+        """Return the request that a full queue refuses, which may be the new one."""
+        own_rank = self._rank(request, now)
+        worst, worst_rank = request, own_rank
+        for queue in self._by_source.values():
+            for waiting in reversed(queue):
+                is_protected = now > waiting.protected_at
+                if is_protected and waiting.priority <= request.priority:
+                    continue
+                rank = self._rank(waiting, now)
+                if rank > worst_rank:
+                    worst, worst_rank = waiting, rank
+                break
+        return worst
+
+    def add(self, request: WaitingRequest) -> None:
+        """Add a request."""
+        queue = self._by_source.setdefault((request.route, request.data_centre), [])
+        bisect.insort(queue, request, key=_objective_at)
+        self._count += 1
+
+    def remove(self, request: WaitingRequest) -> bool:
+        """Remove a request and return whether it was waiting."""
+        source = (request.route, request.data_centre)
+        queue = self._by_source.get(source, [])
+        if request not in queue:
+            return False
+        queue.remove(request)
+        if not queue:
+            del self._by_source[source]
+        self._count -= 1
+        return True
+
+    def first(self, now: float) -> WaitingRequest:
+        """Return the request that starts next; there must be one."""
+        return min(self._heads(now), key=lambda request: self._rank(request, now))
+
+    def _heads(self, now: float) -> Iterator[WaitingRequest]:
+        """Yield the candidates of each route and data centre.
+
+        That is the one with the earliest objective of those that can still meet it, or
+        the first one if none can.
+        """
+        for queue in self._by_source.values():
+            in_time = (request for request in queue if request.meets_objective(now))
+            yield next(in_time, queue[0])
+
+    def arriving_per_s(self, request: WaitingRequest, now: float) -> float:
+        """Return the work a second that arrives with at least this one's priority."""
+        return sum(
+            load.offered.per_s(now) * load.work_s
+            for load in self._loads.values()
+            if load.priority <= request.priority
+        )
+
+    def work_ahead_s(self, request: WaitingRequest, now: float) -> float:
+        """Return the work of the waiting requests that start before this one."""
+        rank = self._rank(request, now)
+        ahead_s = 0.0
+        for queue in self._by_source.values():
+            count = bisect.bisect_left(queue, request.objective_at, key=_objective_at)
+            head_rank = self._rank(queue[0], now)
+            if head_rank[:3] < rank[:3]:
+                count = len(queue)
+            elif head_rank[:3] > rank[:3]:
+                count = 0
+            ahead_s += count * queue[0].work_s
+        return ahead_s
+
+    def _rank(self, request: WaitingRequest, now: float) -> Rank:
+        return (
+            not self._is_underserved(request.load, now),
+            request.priority,
+            not request.meets_objective(now),
+            self._exceeds_share(request.data_centre, now),
+            request.objective_at,
+            request.work_s,
+        )
+
+    def _is_underserved(self, load: RouteLoad, now: float) -> bool:
+        fair = FAIR_RATIO * self._ran.value(now) * load.offered.value(now)
+        return load.ran.value(now) * self._offered.value(now) < fair
+
+    def _exceeds_share(self, data_centre: str, now: float) -> bool:
+        """Return whether more than a fair share was started for a data centre.
+
+        Only the data centres of waiting requests have a share.
+        """
+        waiting = {source[1] for source in self._by_source} | {data_centre}
+        if len(waiting) < 2:
+            return False
+        started = {
+            name: count.value(now)
+            for name, count in self._started_s.items()
+            if name in waiting
+        }
+        return started.get(data_centre, 0.0) * len(waiting) > sum(started.values())
+
+
+def _objective_at(request: WaitingRequest) -> float:
+    return request.objective_at
+
+
+def retry_after_s(predicted_s: float, left_s: float, spread: float) -> float:
+    """Return after how many seconds a refused caller should come back.
+
+    `predicted_s` is the time until there is room, `left_s` the caller's remaining
+    time, and `spread` is random, from 0 to 1, so that callers don't return together.
+    """
+    after_s = max(MIN_RETRY_AFTER_S, predicted_s * (1.0 + MAX_RETRY_SPREAD * spread))
+    return max(0.0, min(after_s, HONOURED_SHARE * left_s))
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -133,11 +133,15 @@
     """The value of the header in which it says that it leaves."""
     retry_after: bytes | None = None
     """The pause that it asks for when it refuses."""
+    queue_limit: int | None = None
+    """How many requests wait for a slot before it refuses more; None for no limit."""
     arrivals: list[float] = attrs.field(factory=list)
     request_ids: list[bytes] = attrs.field(factory=list)
     deadlines_ms: list[int] = attrs.field(factory=list)
     queued: list[Exchange] = attrs.field(factory=list)
     _slots_free_at: list[float] = attrs.field(factory=list)
+    _ends: list[float] = attrs.field(factory=list)
+    """When the requests that run or wait for a slot end."""
 
     def receive(self, exchange: Exchange) -> None:
         """Receive a request."""
@@ -157,7 +161,7 @@
         self.deadlines_ms.append(int(head[b"Left-Ms"]))
         if self.fault == "silent":
             return
-        if self.fault == "shed":
+        if self.fault == "shed" or self._is_full(now):
             self._answer(exchange, 0.002, 503, [(b"Not-Run", b"1")])
         elif self.fault == "moved":
             self._answer(exchange, 0.002, 421, [(b"Target", b"other")])
@@ -175,6 +179,12 @@
         else:
             self._serve(exchange, now, head[b"Id"])
 
+    def _is_full(self, now: float) -> bool:
+        """Return whether as many requests run and wait as it takes."""
+        self._ends = [end for end in self._ends if end > now]
+        limit = self.queue_limit
+        return limit is not None and len(self._ends) >= self.slots + limit
+
     def _serve(self, exchange: Exchange, now: float, request_id: bytes) -> None:
         if len(self._slots_free_at) < self.slots:
             self._slots_free_at.append(now)
@@ -184,6 +194,7 @@
             start + self.work_s * self.simulation.rng.uniform(0.6, 1.4)
         )
         self._slots_free_at[self._slots_free_at.index(free)] = end
+        self._ends.append(end)
         stamp = f"{self.id}-".encode() + request_id
         fields = [(b"Stamp", stamp), (b"Id", request_id)]
         if self.rate_limit is not None:
