Detect overload from requests that still wait, and end a limit that is not needed

Cause: targets that queue without refusing were flooded before the first late answers came; a route that was not served kept an old typical time and was always ranked as late; queries whose objective is twice their work were started too late; a limit stayed in force after the overload; on a stop, ending requests started the waiting ones.

Change: requests without half of their answers count with their age; the typical time is shared by the routes of a group; late answers count as congestion if the median shard was slow too; a limit ends after 5 s without use; nothing starts any more on a stop.

--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -24,6 +24,7 @@
 from filbertshelf.protocol.target_responses import error_response
 from filbertshelf.state.answer_time import AnswerRule
 from filbertshelf.state.room import (
+    LATE_INFLATION_FACTOR,
     MAX_WAITING,
     RoomAccount,
     RoomChange,
@@ -54,6 +55,9 @@
 """The share of the shards that must have answered for a query that ended before half of
 them had to count as slow. With fewer the targets or the link may have failed."""
 
+TIMER_TOLERANCE_S = 0.002
+"""An answer that is sent at the objective may be this much later."""
+
 LINE_INTERVAL_S = 1.0
 """The shortest interval between two log lines about the limit of a group."""
 
@@ -86,6 +90,7 @@
         "_asked",
         "_control",
         "_ended",
+        "_factor",
         "_failed",
         "_half_recorded",
         "_held_s",
@@ -136,6 +141,8 @@
         self._failed = 0
         self._short = 0
         self._half_recorded = False
+        self._factor = 0.0
+        """The time until half of the shards had answered, as a multiple of the work."""
         self._held_s = 0.0
         self._work_s = 0.0
         self._share_s = 0.0
@@ -146,6 +153,7 @@
         self._work_s = self._held_s = self.load.work_s
         self._share_s = self._work_s / self._rule.shards
         self.group.account.add(self._work_s)
+        self.group.account.record_start(self, self.load, now)
 
     def end(self) -> None:
         """Give back what the request still holds."""
@@ -156,9 +164,10 @@
             return
         account = self.group.account
         account.remove(self._held_s)
+        account.forget(self)
         if self._asked > 0:
             is_short = self._is_short()
-            account.record_end(self.started_at, is_short)
+            account.record_end(self.started_at, is_short or self._is_late())
             if is_short:
                 self.group.waiting.record_failure(self.load, self._control.now())
             if self._answered >= MIN_ANSWERED_SHARE * self._asked:
@@ -175,6 +184,11 @@
         allowed = min(HALF * rule.shards, rule.shards - rule.needed)
         return self._short > 0 and self._failed > allowed
 
+    def _is_late(self) -> bool:
+        """Return whether load has made the answer late."""
+        late = self._control.now() > self.request.objective_at + TIMER_TOLERANCE_S
+        return late and self._factor > LATE_INFLATION_FACTOR
+
     # Reports of the request's calls.
 
     def on_shard_answered(self) -> None:
@@ -182,6 +196,8 @@
         self._answered += 1
         if self._answered >= HALF * self._asked:
             self._record_latency()
+        if self._answered == self._rule.needed:
+            self._record_answer()
         self._end_shard()
 
     def on_shard_failed(self, sub_requests: int, refusals: int) -> None:
@@ -204,6 +220,11 @@
             self.group.account.remove(self._share_s)
             self._control.on_room(self.group)
 
+    def _record_answer(self) -> None:
+        if self.group.account.started_of_late(self.started_at):
+            seconds = self._control.now() - self.started_at
+            self.group.waiting.pace.record(seconds / self._work_s)
+
     def _record_latency(self) -> None:
         if self._half_recorded:
             return
@@ -211,6 +232,8 @@
         now = self._control.now()
         seconds = now - self.started_at
         account = self.group.account
+        account.forget(self)
+        self._factor = seconds / self._work_s
         inflation = self.load.inflation(seconds)
         account.record_latency(self.started_at, self._work_s, inflation)
         self.load.record(seconds, account.limited)
@@ -240,6 +263,8 @@
         self._metrics = metrics
         self._rng = rng
         self._choose_service = choose_service
+        self.stopped = False
+        """Whether no waiting request starts any more, because the instance stops."""
         self._table: RouteTable | None = None
         self._contested: frozenset[str] = frozenset()
         """The services that routes of different priorities use."""
@@ -250,6 +275,10 @@
         """Return the monotonic time."""
         return self._clock.monotonic()
 
+    def groups(self) -> Collection[_Group]:
+        """Return the groups of services whose use is limited."""
+        return self._groups.values()
+
     def acquire(
         self,
         request: RoutedRequest,
@@ -268,6 +297,7 @@
         now = self.now()
         load = group.waiting.load(request.route, self._clock)
         group.waiting.record_offer(load, now)
+        self.on_room(group)
         claim = RoomClaim(self, group, request, load, now, on_start, on_refused)
         request.room = claim
         if not group.waiting and group.account.has_room(load.work_s):
@@ -290,7 +320,7 @@
         change = account.adjust(now)
         if change is not None:
             self._log_change(group, before_s, change, now)
-        if group.starting or not group.waiting:
+        if self.stopped or group.starting or not group.waiting:
             return
         group.starting = True
         while group.waiting:
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -77,7 +77,7 @@
         self._rng = rng
         self._service_sequences: dict[str, WeightedServiceSequence] = {}
         self._runs: dict[RoutedRequest, RequestRun] = {}
-        self._room = RoomControl(
+        self.room = RoomControl(
             context.clock,
             context.call_later,
             context.targets,
@@ -116,6 +116,7 @@
     def close(self) -> None:
         """End all requests that still run, and refuse those that come later at once."""
         self._closed = True
+        self.room.stopped = True
         for run in list(self._runs.values()):
             run.on_stop()
 
@@ -247,7 +248,7 @@
             lambda on_end: self._make_local_runner(request, on_end),
             self._with_cleanup(request, on_result or reply_and_log),
             may_delegate,
-            self._room,
+            self.room,
         )
 
     def _make_local_runner(
--- a/filbertshelf/state/room.py
+++ b/filbertshelf/state/room.py
@@ -30,27 +30,40 @@
 """A latency below this share of the objective does no harm, however it compares with
 the floor. Jitter of a busy machine may double a latency of some milliseconds."""
 
+MAX_OBJECTIVE_SHARE = 0.5
+MIN_INFLATION_FACTOR = 1.5
+"""A latency above this share of the objective leaves too little time for the slower
+shards, and is a sign of load if it is also above this multiple of the floor."""
+
+LATE_INFLATION_FACTOR = 1.25
+"""A late answer is a sign of load if half of the shards took this multiple of the
+floor. If they took less, it was late because of some slow shards."""
+
 CONGESTED_WINDOWS = 2
 """Consecutive congested windows before a group without a limit gets one. The answers
 that arrive late after a pause or a broken link are all in one window."""
 
+CALM_S = 5.0
+"""A limit ends if for so long no request waited and the targets were not congested.
+An old limit would make calm traffic wait when some targets pause."""
+
 MIN_BUSY_SHARE = 0.1
 """Targets that do less than this share of what their slots can do don't refuse or
 delay requests because of this instance's load; most are paused or out of reach."""
 
-MAX_SHORT_SHARE = 0.2
+MAX_SHORT_SHARE = 0.1
 """The highest share of a window's requests that may fail for lack of capacity without
 being taken for overload."""
 
 DECREASE_FACTOR = 0.85
 MAX_DECREASE_FACTOR = 0.5
-INCREASE_FACTOR = 1.15
+INCREASE_FACTOR = 1.08
 """The factors of one change of the limit, at most one in each round trip."""
 
 MAX_WAITING = 256
 """The maximum number of waiting requests of a group."""
 
-FAIR_RATIO = 1 / 3
+FAIR_RATIO = 0.4
 """A route whose ratio of started to offered requests is below this share of the ratio
 of all routes goes first. The least share that is promised is a quarter."""
 
@@ -58,8 +71,7 @@
 """The time after which offered and started requests count half."""
 
 TAIL_FACTOR = 2.0
-"""The time until a query is answered, as a multiple of the time until half of its
-shards have answered."""
+"""The assumed time until a query is answered, as a multiple of its work."""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_SPREAD = 0.5
@@ -67,12 +79,34 @@
 """The share of their remaining time that callers wait before they come back."""
 
 
+SAFETY_FACTOR = 1.2
+"""A request counts as able to meet its objective if this multiple of the typical time
+is left. With the typical time alone, half of those that barely fit would be late."""
+
+
 class RoomChange(enum.Enum):
     """Why a limit changed."""
 
     REFUSALS = "targets refused"
     LATENCY = "latency is inflated"
     USE = "the limit is used"
+    CALM = "the targets were not overloaded for a while"
+
+
+class AnswerPace:
+    """The average time until enough shards have answered, as a multiple of the work.
+
+    All routes of a group share it, so that it is known for one that was not served.
+    """
+
+    __slots__ = ("factor",)
+
+    def __init__(self) -> None:
+        self.factor = TAIL_FACTOR
+
+    def record(self, factor: float) -> None:
+        """Add one answer."""
+        self.factor += AVERAGE_WEIGHT * (factor - self.factor)
 
 
 class RouteLoad:
@@ -85,6 +119,7 @@
     __slots__ = (
         "_floor",
         "_lowered_s",
+        "_pace",
         "average_s",
         "objective_s",
         "offered",
@@ -92,7 +127,8 @@
         "ran",
     )
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, pace: AnswerPace):
+        self._pace = pace
         self.objective_s = 0.0
         self.priority = 0
         self.average_s = 0.0
@@ -109,7 +145,7 @@
     @property
     def typical_s(self) -> float:
         """Return how long a request of the route takes at present."""
-        return TAIL_FACTOR * (self.average_s or self.work_s)
+        return self._pace.factor * self.work_s
 
     def record(self, seconds: float, limited: bool) -> None:
         """Add a latency; a `limited` group says nothing about the unloaded latency."""
@@ -123,8 +159,12 @@
 
     def inflation(self, seconds: float) -> float:
         """Return a latency as a multiple of the highest one that is no sign of load."""
+        highest_s = max(
+            MAX_OBJECTIVE_SHARE * self.objective_s, MIN_INFLATION_FACTOR * self.work_s
+        )
         harmless_s = max(
-            INFLATION_FACTOR * self.work_s, MIN_OBJECTIVE_SHARE * self.objective_s
+            min(highest_s, INFLATION_FACTOR * self.work_s),
+            MIN_OBJECTIVE_SHARE * self.objective_s,
         )
         return seconds / harmless_s
 
@@ -161,10 +201,13 @@
     """
 
     __slots__ = (
+        "_busy_at",
+        "_congested_at",
         "_congested_windows",
         "_done",
         "_done_s",
         "_ended",
+        "_pending",
         "_ratios",
         "_short",
         "_used",
@@ -185,7 +228,13 @@
         """The work a second that targets have done of late, 0.0 if it is unknown."""
         self.work_s = DEFAULT_WORK_S
         """The work of the average request of late."""
+        self._pending: dict[object, tuple[float, RouteLoad]] = {}
+        """The requests of which less than half of the shards have answered: when they
+        started, the first one first, and their route."""
         self._congested_windows = 0
+        self._busy_at = now
+        """When a request last had to wait or the targets were congested."""
+        self._congested_at = now
         self._start_window(now)
 
     def _start_window(self, now: float) -> None:
@@ -220,6 +269,18 @@
         if self.running_s < 1e-9:
             self.running_s = 0.0
 
+    def record_start(self, key: object, load: RouteLoad, now: float) -> None:
+        """Record that a request has started; `key` is any object that stands for it."""
+        self._pending[key] = (now, load)
+
+    def forget(self, key: object) -> None:
+        """Record that a request waits for no more answers."""
+        self._pending.pop(key, None)
+
+    def started_of_late(self, started_at: float) -> bool:
+        """Return whether a request has started since the limit was last judged."""
+        return started_at >= self._window_at
+
     def record_latency(
         self, started_at: float, work_s: float, inflation: float
     ) -> None:
@@ -232,30 +293,45 @@
 
     def record_end(self, started_at: float, short: bool) -> None:
         """Record the end of a request; a `short` one found too few free targets."""
-        if started_at >= self._window_at:
+        if started_at >= self._congested_at:
             self._ended += 1
             self._short += short
 
     def adjust(self, now: float) -> RoomChange | None:
         """Change the limit if a round trip is over, and return why it changed."""
         elapsed_s = now - self._window_at
-        if (
-            elapsed_s < MIN_WINDOW_S
-            or max(len(self._ratios), self._ended) < MIN_SAMPLES
-        ):
+        if elapsed_s < MIN_WINDOW_S:
             return None
+        late = self._late_ratios(now)
+        if max(len(self._ratios) + len(late), self._ended) < MIN_SAMPLES:
+            return None
+        self._ratios += late
         self.done_per_s = self._done_s / elapsed_s
         if self._done:
             self.work_s = self._done_s / self._done
         cause = self._congestion()
         used = self._used
         self._start_window(now)
+        if used or cause is not None:
+            self._busy_at = now
         if cause is None:
             self._congested_windows = 0
-            return self._raise() if used else None
+            return self._raise(used, now)
         self._congested_windows += 1
+        self._congested_at = now
         return self._lower(cause)
 
+    def _late_ratios(self, now: float) -> list[float]:
+        """Return the inflation of requests that are late and still wait for answers."""
+        ratios = []
+        for started_at, load in self._pending.values():
+            if started_at >= self._window_at:
+                inflation = load.inflation(now - started_at)
+                if inflation <= 1.0:
+                    break
+                ratios.append(inflation)
+        return ratios
+
     def _congestion(self) -> RoomChange | None:
         if self.done_per_s * self.work_s < MIN_BUSY_SHARE * self.minimum_s:
             return None
@@ -280,9 +356,16 @@
         self.limit_s = max(self.minimum_s, lowered_s)
         return cause if self.limit_s < before else None
 
-    def _raise(self) -> RoomChange:
-        self.limit_s *= INCREASE_FACTOR
-        return RoomChange.USE
+    def _raise(self, used: bool, now: float) -> RoomChange | None:
+        if self.limit_s == math.inf:
+            return None
+        if used:
+            self.limit_s *= INCREASE_FACTOR
+            return RoomChange.USE
+        if now - self._busy_at >= CALM_S:
+            self.limit_s = math.inf
+            return RoomChange.CALM
+        return None
 
     def drain_per_s(self) -> float:
         """Return the work a second that becomes free for waiting requests."""
@@ -314,7 +397,7 @@
 
     def meets_objective(self, now: float) -> bool:
         """Return whether it can be answered within the objective if it starts now."""
-        return now + self.load.typical_s <= self.objective_at
+        return now + SAFETY_FACTOR * self.load.typical_s <= self.objective_at
 
 
 Rank = tuple[bool, int, bool, bool, float, float]
@@ -324,9 +407,18 @@
 class WaitingRequests:
     """The waiting requests of one group, in the order of the cost of refusing them."""
 
-    __slots__ = ("_by_source", "_count", "_loads", "_offered", "_ran", "_started_s")
+    __slots__ = (
+        "_by_source",
+        "_count",
+        "_loads",
+        "_offered",
+        "_ran",
+        "_started_s",
+        "pace",
+    )
 
     def __init__(self) -> None:
+        self.pace = AnswerPace()
         self._offered = DecayingCount()
         self._ran = DecayingCount()
         self._by_source: dict[tuple[str, str], list[WaitingRequest]] = {}
@@ -347,7 +439,7 @@
         """Return the load of a route; a new one starts without statistics."""
         load = self._loads.get(route.name)
         if load is None:
-            load = self._loads[route.name] = RouteLoad(clock)
+            load = self._loads[route.name] = RouteLoad(clock, self.pace)
         load.objective_s = route.latency_objective_s
         load.priority = route.priority
         return load
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -82,6 +82,14 @@
         heapq.heappush(self._due, (due, next(self._order), timer))
         return timer
 
+    def pause(self, seconds: float) -> None:
+        """Let time pass without any call, as in a process that is paused."""
+        self._now += seconds
+        # The calls that came due are made now, in the order in which they were due.
+        due = sorted(self._due)
+        self._due = [(max(at, self._now), order, timer) for at, order, timer in due]
+        heapq.heapify(self._due)
+
     def run_until(self, end: float) -> None:
         """Make all calls that are due by `end`."""
         while self._due and self._due[0][0] <= end:
--- a/test/coordination/test_room.py
+++ b/test/coordination/test_room.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 
 import attrs
+import pytest
 
+from filbertshelf import events
 from filbertshelf.coordination.delegation import Delegation
 from filbertshelf.coordination.router import Router
 from filbertshelf.gateway_metrics import GatewayMetrics
+from filbertshelf.protocol.delegation import DelegationRequest
 from filbertshelf.protocol.http_messages import Response
 from filbertshelf.state.members import Member
 from filbertshelf.state.routing import Limits, Route, RouteTable
@@ -113,9 +117,38 @@
             self.time.run_until(at)
             attempts.append(self.send(self.rng.choice(routes or self.routes)))
 
-    def leafs(self) -> list[Leaf]:
-        """Return all targets."""
-        return list(self.simulation.leafs.values())
+    def leafs(self, shards: int = SHARDS) -> list[Leaf]:
+        """Return the targets of the first shards."""
+        services = self.shards[:shards]
+        leafs = self.simulation.leafs.values()
+        return [leaf for leaf in leafs if leaf.service in services]
+
+    def metric(self, name: str) -> float:
+        """Return the sum of a metric's samples."""
+        values = [
+            sample.value
+            for family in self.metrics.registry.collect()
+            for sample in family.samples
+            if sample.name == name
+        ]
+        return sum(values)
+
+    @property
+    def refusals(self) -> int:
+        """Return how many requests were refused for want of room."""
+        return int(self.metric("filbertshelf_room_refusals_total"))
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return int(self.metric("filbertshelf_room_waiting"))
+
+    def fill(self) -> Attempt:
+        """Start a request, and limit the room to it."""
+        attempt = self.send(self.routes[0])
+        [group] = self.router.room.groups()
+        group.account.limit_s = group.account.minimum_s = group.account.running_s
+        return attempt
 
     def ids_at_targets(self) -> set[bytes]:
         """Return the ids of the requests that reached a target."""
@@ -127,6 +160,21 @@
     return sum(attempt.in_time for attempt in attempts) / seconds
 
 
+@pytest.fixture
+def waits(monkeypatch):
+    """Return a list of the ids of requests that had to wait."""
+    ids = []
+    emit = events.emit
+
+    def record(event, **fields):
+        if event is events.REQUEST_WAITS:
+            ids.append(fields["request_id"])
+        emit(event, **fields)
+
+    monkeypatch.setattr(events, "emit", record)
+    return ids
+
+
 def test_five_times_the_capacity_leaves_the_served_queries_near_the_best():
     """Guards against queries that fill all shards and fail because a few are full."""
     gateway = RoomGateway()
@@ -143,3 +191,181 @@
         if attempt.refused and attempt.id not in at_targets
     )
     assert waits[int(0.99 * len(waits))] <= 0.25 * OBJECTIVE_S
+    # No route may starve, however low its priority.
+    overall = sum(attempt.in_time for attempt in attempts) / len(attempts)
+    for route in gateway.routes:
+        own = [attempt for attempt in attempts if attempt.route is route]
+        assert sum(attempt.in_time for attempt in own) / len(own) >= 0.25 * overall
+
+
+def test_targets_that_queue_without_refusing_are_not_flooded():
+    """Guards against a limit that reacts only once late answers arrive."""
+    gateway = RoomGateway(queue_limit=None)
+    gateway.load(0.5 * CAPACITY_PER_S, 1.0)
+    attempts = gateway.load(5 * CAPACITY_PER_S, 3.0)
+    assert in_time_per_s(attempts, 3.0) >= 0.8 * CAPACITY_PER_S
+
+
+def test_an_objective_of_twice_the_work_is_met():
+    """Guards against full targets that answer each request, but too late."""
+    gateway = RoomGateway(slots=8, work_s=0.08)
+    gateway.load(0.5 * CAPACITY_PER_S, 1.0)
+    gateway.load(5 * CAPACITY_PER_S, 1.0)
+    attempts = gateway.load(5 * CAPACITY_PER_S, 2.0)
+    # Without a limit, the best rate at any load is 164 a second, and it is 15 here.
+    assert in_time_per_s(attempts, 2.0) >= 0.75 * 164
+
+
+def pause_all(gateway: RoomGateway) -> None:
+    """Pause all targets at the same time."""
+    for leaf in gateway.leafs():
+        leaf.pause_s, leaf.pause_every_s = 0.2, 1.2
+
+
+def pause_local(gateway: RoomGateway) -> None:
+    """Pause one target of each shard."""
+    for leaf in gateway.leafs()[::2]:
+        leaf.pause_s, leaf.pause_every_s = 0.3, 1.0
+
+
+def slow_shards(gateway: RoomGateway) -> None:
+    """Make all targets of three shards slow."""
+    for leaf in gateway.leafs(3):
+        leaf.work_s = 0.04
+
+
+def with_fault(fault: str):
+    """Return a change that gives all targets of one shard a fault."""
+
+    def change(gateway: RoomGateway) -> None:
+        for leaf in gateway.leafs(1):
+            leaf.fault = fault
+
+    return change
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda gateway: None,
+        slow_shards,
+        pause_all,
+        pause_local,
+        with_fault("refused"),
+        with_fault("silent"),
+        with_fault("shed"),
+    ],
+    ids=["calm", "slow", "all paused", "half paused", "refused", "silent", "shed"],
+)
+def test_nothing_waits_without_overload(change, waits):
+    """Guards against a limit that falls because some shards are slow or dead."""
+    gateway = RoomGateway()
+    gateway.load(0.3 * CAPACITY_PER_S, 1.0)
+    change(gateway)
+    gateway.load(0.35 * CAPACITY_PER_S, 2.5)
+    assert not waits
+    assert not gateway.refusals
+    assert gateway.metric("filbertshelf_room_limit_seconds") == math.inf
+
+
+def test_a_limit_ends_after_the_overload(waits):
+    """Guards against an old limit that makes calm traffic wait."""
+    gateway = RoomGateway()
+    gateway.load(5 * CAPACITY_PER_S, 1.0)
+    gateway.load(0.3 * CAPACITY_PER_S, 7.0)
+    assert gateway.metric("filbertshelf_room_limit_seconds") == math.inf
+    waits.clear()
+    slow_shards(gateway)
+    gateway.load(0.3 * CAPACITY_PER_S, 2.0)
+    assert not waits
+
+
+def test_routes_of_equal_priority_are_served_as_before(waits):
+    """Guards against admission control where no configuration calls for it."""
+    gateway = RoomGateway(priorities=(1, 1))
+    gateway.load(5 * CAPACITY_PER_S, 0.5)
+    assert not waits
+    assert not gateway.router.room.groups()
+
+
+def test_a_caller_that_leaves_while_it_waits_frees_its_place():
+    """Guards against a queue that is full of callers that have left."""
+    gateway = RoomGateway()
+    gateway.fill()
+    waiting = gateway.send(gateway.routes[1])
+    assert gateway.waiting == 1
+    waiting.request.on_disconnect()
+    assert gateway.waiting == 0
+    gateway.load(0.1, 1.0)
+    assert waiting.id not in gateway.ids_at_targets()
+
+
+def test_a_waiting_request_starts_when_a_running_one_ends():
+    """Guards against waiting requests that nothing starts."""
+    gateway = RoomGateway()
+    first = gateway.fill()
+    waiting = gateway.send(gateway.routes[1], deadline_s=0.7)
+    gateway.time.run_until(1.0)
+    assert (first.status, waiting.status) == (200, 200)
+    assert waiting.ended_at > first.sent_at + 0.01
+
+
+def test_the_higher_priority_starts_first():
+    """Guards against an order by arrival alone."""
+    gateway = RoomGateway(work_s=0.01)
+    gateway.load(0.5 * CAPACITY_PER_S, 1.0)
+    gateway.time.run_until(2.0)
+    gateway.fill()
+    low = [gateway.send(gateway.routes[2]) for _ in range(4)]
+    high = gateway.send(gateway.routes[0])
+    gateway.time.run_until(3.0)
+    assert high.status == 200
+    assert all(high.ended_at <= attempt.ended_at for attempt in low if attempt.in_time)
+
+
+@pytest.mark.parametrize("end", ["stop", "resume"])
+def test_a_waiting_request_that_can_not_start_is_refused_as_not_run(end):
+    """Guards against waiting requests that are lost, or run after their deadline."""
+    gateway = RoomGateway()
+    gateway.fill()
+    waiting = gateway.send(gateway.routes[1], deadline_s=0.3)
+    if end == "stop":
+        gateway.router.close()
+    else:
+        gateway.time.pause(0.5)
+        gateway.router.on_resume()
+    assert waiting.status == 503
+    gateway.time.run_until(2.0)
+    assert waiting.id not in gateway.ids_at_targets()
+
+
+def test_a_delegate_without_room_answers_with_the_refusal():
+    """Guards against a delegated query that is lost, or run by its sender too."""
+    gateway = RoomGateway()
+    for leaf in gateway.leafs():
+        leaf.fault = "silent"
+    gateway.fill()
+    fields = ((b"Host", b"h"), (b"Id", b"d1"), (b"Left-Ms", b"800"))
+    path = b"/q1/1"
+    message = DelegationRequest("k", b"GET", path, fields, b"", 0.0, 1, 2)
+    request = Request(b"GET", path, list(fields), b"", 0.0, True, lambda _: None)
+    results = []
+    gateway.router.serve_delegated(request, message, results.append)
+    gateway.time.run_until(OBJECTIVE_S)
+    [result] = results
+    assert (result.response.status, result.outcome) == (503, "not run")
+    assert b"d1" not in gateway.ids_at_targets()
+
+
+def test_no_hedge_is_sent_while_requests_wait():
+    """Guards against extra sub-requests that take room from waiting requests."""
+    gateway = RoomGateway()
+    gateway.load(0.3 * CAPACITY_PER_S, 1.0)
+    for leaf in gateway.leafs():
+        leaf.fault = "silent"
+    before = gateway.simulation.arrivals()
+    gateway.fill()
+    for n in range(30):
+        gateway.send(gateway.routes[1])
+        gateway.time.run_until(1.0 + 0.02 * n)
+    assert gateway.simulation.arrivals() - before == SHARDS
