Judge overload by the answers of targets, and share the limit evenly between instances

Cause: in a fleet of eight gateways, all queries failed before half of their shards had answered, so the targets seemed to do nothing and no limit was set. One of several gateways kept most of the capacity, since a rise in proportion to the limit favours the largest one. Small samples set a limit in calm traffic. A request that could wait a little longer was refused at moderate load.

--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -152,7 +152,7 @@
         self.started_at = now
         self._work_s = self._held_s = self.load.work_s
         self._share_s = self._work_s / self._rule.shards
-        self.group.account.add(self._work_s)
+        self.group.account.add(self._work_s, now)
         self.group.account.record_start(self, self.load, now)
 
     def end(self) -> None:
@@ -191,6 +191,12 @@
 
     # Reports of the request's calls.
 
+    def on_target_answered(self) -> None:
+        """Record that a target has answered, perhaps after the end of the request."""
+        requests = 1.0 / self._rule.shards
+        now = self._control.now()
+        self.group.account.record_done(self._share_s, requests, now)
+
     def on_shard_answered(self) -> None:
         """Record that a shard has answered."""
         self._answered += 1
@@ -212,7 +218,7 @@
         """Record a hedge or a retry."""
         if not self._ended:
             self._held_s += self._share_s
-            self.group.account.add(self._share_s)
+            self.group.account.add(self._share_s, self._control.now())
 
     def _end_shard(self) -> None:
         if not self._ended:
@@ -235,7 +241,7 @@
         account.forget(self)
         self._factor = seconds / self._work_s
         inflation = self.load.inflation(seconds)
-        account.record_latency(self.started_at, self._work_s, inflation)
+        account.record_latency(self.started_at, inflation)
         self.load.record(seconds, account.limited)
 
     @property
@@ -270,6 +276,8 @@
         """The services that routes of different priorities use."""
         self._groups: dict[tuple[str, ...], _Group] = {}
         self._group_by_route: dict[str, _Group | None] = {}
+        self._shown: dict[str, _Group] = {}
+        """The groups that have metrics, by name."""
 
     def now(self) -> float:
         """Return the monotonic time."""
@@ -323,17 +331,22 @@
         if self.stopped or group.starting or not group.waiting:
             return
         group.starting = True
+        try:
+            self._start_waiting(group, now)
+        finally:
+            group.starting = False
+
+    def _start_waiting(self, group: _Group, now: float) -> None:
         while group.waiting:
             first = group.waiting.first(now)
-            if not account.has_room(first.work_s):
-                break
+            if not group.account.has_room(first.work_s):
+                return
             claim = group.claims[first]
             self._leave_queue(claim)
             if now >= claim.request.deadline:
                 self._refuse(claim, "the deadline has passed", now)
             else:
                 self._start(claim, now)
-        group.starting = False
 
     # Groups.
 
@@ -459,10 +472,10 @@
         """
         claim.timer = None
         now = self.now()
-        arriving_per_s = claim.group.waiting.arriving_per_s(claim.waiting, now)
-        predicted_s = self._predicted_wait_s(claim, now, arriving_per_s)
+        predicted_s = self._predicted_wait_s(claim, now)
         needed_s = PREDICTION_MARGIN * predicted_s + claim.load.typical_s
-        if now + needed_s > claim.request.objective_at:
+        is_late = now + needed_s > claim.request.objective_at
+        if is_late or claim.group.waiting.is_overloaded(now):
             self._refuse_late(claim, predicted_s)
             return
         latest_start_s = claim.request.objective_at - claim.load.typical_s - now
@@ -474,22 +487,14 @@
         self._leave_queue(claim)
         self._refuse(claim, "it would be late", self.now(), predicted_s)
 
-    def _predicted_wait_s(
-        self, claim: RoomClaim, now: float, arriving_per_s: float = 0.0
-    ) -> float:
-        """Return the predicted seconds until a waiting request starts.
-
-        `arriving_per_s` is the work a second that arrives and may start before it.
-        """
+    def _predicted_wait_s(self, claim: RoomClaim, now: float) -> float:
+        """Return the predicted seconds until a waiting request starts."""
         account = claim.group.account
         ahead_s = claim.group.waiting.work_ahead_s(claim.waiting, now)
         limit_s = max(account.limit_s, account.minimum_s)
         excess_s = account.running_s + claim.load.work_s - limit_s
-        work_s = max(0.0, ahead_s + excess_s)
-        left_per_s = account.drain_per_s() - arriving_per_s
-        if not work_s:
-            return 0.0
-        return work_s / left_per_s if left_per_s > 0.0 else math.inf
+        drain_per_s = account.drain_per_s()
+        return max(0.0, ahead_s + excess_s) / drain_per_s if drain_per_s else 0.0
 
     def _leave_queue(self, claim: RoomClaim) -> None:
         if claim.timer is not None:
@@ -549,14 +554,18 @@
 
     def _show(self, group: _Group) -> None:
         """Show a group in the metrics, whose number is bounded."""
-        if len(self._groups) > MAX_GROUPS_WITH_METRICS:
+        if len(self._shown) >= MAX_GROUPS_WITH_METRICS or group.name in self._shown:
             return
+        self._shown[group.name] = group
         metrics, name = self._metrics, group.name
         metrics.room_waiting.labels(name).set_function(lambda: len(group.waiting))
         metrics.room_limit.labels(name).set_function(lambda: group.account.limit_s)
         metrics.room_running.labels(name).set_function(lambda: group.account.running_s)
 
     def _hide(self, group: _Group) -> None:
+        if self._shown.get(group.name) is not group:
+            return
+        del self._shown[group.name]
         metrics = self._metrics
         for gauge in (metrics.room_waiting, metrics.room_limit, metrics.room_running):
             gauge.remove(group.name)
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -315,6 +315,8 @@
             self._context.hedge_delay(self._request.route).record(
                 now - exchange.started_at
             )
+            if self._request.room is not None:
+                self._request.room.on_target_answered()
         if self.closed:
             return
         if classification.result is Result.ANSWERED:
--- a/filbertshelf/state/room.py
+++ b/filbertshelf/state/room.py
@@ -23,7 +23,7 @@
 """The assumed work of a route before its first answer."""
 
 MIN_WINDOW_S = 0.05
-MIN_SAMPLES = 5
+MIN_SAMPLES = 10
 """The shortest time and the fewest latencies from which congestion is judged."""
 
 MIN_OBJECTIVE_SHARE = 0.12
@@ -47,6 +47,10 @@
 """A limit ends if for so long no request waited and the targets were not congested.
 An old limit would make calm traffic wait when some targets pause."""
 
+STALL_FACTOR = 2.0
+"""If no target answers for this multiple of the work (and `MIN_WINDOW_S`), a pause or a
+failed link is the cause; overloaded targets answer all the time."""
+
 MIN_BUSY_SHARE = 0.1
 """Targets that do less than this share of what their slots can do don't refuse or
 delay requests because of this instance's load; most are paused or out of reach."""
@@ -57,8 +61,12 @@
 
 DECREASE_FACTOR = 0.85
 MAX_DECREASE_FACTOR = 0.5
-INCREASE_FACTOR = 1.08
-"""The factors of one change of the limit, at most one in each round trip."""
+"""The factors of one decrease of the limit, at most one in each round trip."""
+
+INCREASE_SHARE = 0.15
+MIN_INCREASE = 0.04
+"""One increase as a share of the lowest limit, and at least as a share of the limit.
+Equal steps of all instances make their limits equal."""
 
 MAX_WAITING = 256
 """The maximum number of waiting requests of a group."""
@@ -67,6 +75,10 @@
 """A route whose ratio of started to offered requests is below this share of the ratio
 of all routes goes first. The least share that is promised is a quarter."""
 
+OVERLOAD_RATIO = 0.8
+"""If a lower ratio of the requests was not refused, one that has waited for long will
+probably give way to others."""
+
 HALF_LIFE_S = 2.0
 """The time after which offered and started requests count half."""
 
@@ -78,7 +90,6 @@
 HONOURED_SHARE = 1 / 3
 """The share of their remaining time that callers wait before they come back."""
 
-
 SAFETY_FACTOR = 1.2
 """A request counts as able to meet its objective if this multiple of the typical time
 is left. With the typical time alone, half of those that barely fit would be late."""
@@ -189,10 +200,6 @@
             return 0.0
         return self._value * 0.5 ** ((now - self._at) / HALF_LIFE_S)
 
-    def per_s(self, now: float) -> float:
-        """Return the recent number a second."""
-        return self.value(now) * math.log(2) / HALF_LIFE_S
-
 
 class RoomAccount:
     """The limit of one group on the work in flight from this instance.
@@ -201,6 +208,7 @@
     """
 
     __slots__ = (
+        "_answered_at",
         "_busy_at",
         "_congested_at",
         "_congested_windows",
@@ -210,6 +218,7 @@
         "_pending",
         "_ratios",
         "_short",
+        "_stalled",
         "_used",
         "_window_at",
         "done_per_s",
@@ -232,6 +241,7 @@
         """The requests of which less than half of the shards have answered: when they
         started, the first one first, and their route."""
         self._congested_windows = 0
+        self._answered_at = now
         self._busy_at = now
         """When a request last had to wait or the targets were congested."""
         self._congested_at = now
@@ -242,7 +252,8 @@
         self._ratios: list[float] = []
         self._ended = 0
         self._short = 0
-        self._done = 0
+        self._done = 0.0
+        self._stalled = False
         self._done_s = 0.0
         self._used = False
 
@@ -258,8 +269,10 @@
         self._used = True
         return False
 
-    def add(self, work_s: float) -> None:
+    def add(self, work_s: float, now: float) -> None:
         """Count work that starts."""
+        if not self.running_s:
+            self._answered_at = now
         self.running_s += work_s
 
     def remove(self, work_s: float) -> None:
@@ -281,12 +294,15 @@
         """Return whether a request has started since the limit was last judged."""
         return started_at >= self._window_at
 
-    def record_latency(
-        self, started_at: float, work_s: float, inflation: float
-    ) -> None:
-        """Record that half of a request's shards have answered."""
-        self._done += 1
+    def record_done(self, work_s: float, requests: float, now: float) -> None:
+        """Count work that targets have done; a shard is a part of a request."""
+        self._check_stall(now)
+        self._answered_at = now
+        self._done += requests
         self._done_s += work_s
+
+    def record_latency(self, started_at: float, inflation: float) -> None:
+        """Record that half of a request's shards have answered."""
         # Requests that started before the last change still reflect the load then.
         if started_at >= self._window_at:
             self._ratios.append(inflation)
@@ -309,6 +325,7 @@
         self.done_per_s = self._done_s / elapsed_s
         if self._done:
             self.work_s = self._done_s / self._done
+        self._check_stall(now)
         cause = self._congestion()
         used = self._used
         self._start_window(now)
@@ -332,7 +349,15 @@
                 ratios.append(inflation)
         return ratios
 
+    def _check_stall(self, now: float) -> None:
+        """Record whether no target has answered for a while."""
+        longest_s = max(MIN_WINDOW_S, STALL_FACTOR * self.work_s)
+        if self.running_s and now - self._answered_at > longest_s:
+            self._stalled = True
+
     def _congestion(self) -> RoomChange | None:
+        if self._stalled:
+            return None
         if self.done_per_s * self.work_s < MIN_BUSY_SHARE * self.minimum_s:
             return None
         if self._ended and self._short > MAX_SHORT_SHARE * self._ended:
@@ -360,7 +385,9 @@
         if self.limit_s == math.inf:
             return None
         if used:
-            self.limit_s *= INCREASE_FACTOR
+            self.limit_s += max(
+                INCREASE_SHARE * self.minimum_s, MIN_INCREASE * self.limit_s
+            )
             return RoomChange.USE
         if now - self._busy_at >= CALM_S:
             self.limit_s = math.inf
@@ -520,13 +547,10 @@
             in_time = (request for request in queue if request.meets_objective(now))
             yield next(in_time, queue[0])
 
-    def arriving_per_s(self, request: WaitingRequest, now: float) -> float:
-        """Return the work a second that arrives with at least this one's priority."""
-        return sum(
-            load.offered.per_s(now) * load.work_s
-            for load in self._loads.values()
-            if load.priority <= request.priority
-        )
+    def is_overloaded(self, now: float) -> bool:
+        """Return whether many of the requests that arrived of late were refused."""
+        kept = self._ran.value(now) + self._count
+        return kept < OVERLOAD_RATIO * self._offered.value(now)
 
     def work_ahead_s(self, request: WaitingRequest, now: float) -> float:
         """Return the work of the waiting requests that start before this one."""
--- a/test/coordination/test_room.py
+++ b/test/coordination/test_room.py
@@ -16,11 +16,17 @@
 from filbertshelf.protocol.delegation import DelegationRequest
 from filbertshelf.protocol.http_messages import Response
 from filbertshelf.state.members import Member
-from filbertshelf.state.routing import Limits, Route, RouteTable
+from filbertshelf.state.routing import Limits, Repeat, Route, RouteTable
 from filbertshelf.transport.http1.server import Request
 from test.coordination.peer_fleet import FeedStub
 from test.coordination.peers_stub import PeersStub
-from test.coordination.simulated_gateway import HERE, Leaf, Simulation, gather_route
+from test.coordination.simulated_gateway import (
+    HERE,
+    Leaf,
+    Simulation,
+    gather_route,
+    single_route,
+)
 
 SHARDS = 12
 OBJECTIVE_S = 0.15
@@ -288,6 +294,21 @@
     assert not gateway.router.room.groups()
 
 
+def test_a_new_configuration_may_end_the_admission_control():
+    """Guards against requests that wait for ever in a group that is out of use."""
+    gateway = RoomGateway()
+    gateway.fill()
+    waiting = gateway.send(gateway.routes[1])
+    gateway.simulation.add_leaf("desk")
+    route = single_route("desk", Repeat.IDEMPOTENT, prefix="/desk/", priority=0)
+    gateway.feed.table = RouteTable.build(2, [route], [], Limits())
+    assert gateway.send(route).response is None
+    assert not gateway.router.room.groups()
+    gateway.time.run_until(1.0)
+    assert waiting.response is not None
+    assert not gateway.metric("filbertshelf_room_waiting")
+
+
 def test_a_caller_that_leaves_while_it_waits_frees_its_place():
     """Guards against a queue that is full of callers that have left."""
     gateway = RoomGateway()
--- a/test/state/test_room.py
+++ b/test/state/test_room.py
@@ -85,18 +85,20 @@
 
 def window(account, now, inflation=0.5, short=0, requests=MIN_SAMPLES, work_s=WORK_S):
     """Let some requests start and end within one window; return the change."""
+    started_at = now + 0.001
     for n in range(requests):
-        account.record_latency(now, work_s, inflation)
-        account.record_end(now, n < short)
-    return account.adjust(now + MIN_WINDOW_S)
+        account.record_done(work_s, 1.0, now + 0.9 * MIN_WINDOW_S * n / requests)
+        account.record_latency(started_at, inflation)
+        account.record_end(started_at, n < short)
+    return account.adjust(now + MIN_WINDOW_S + 1e-6)
 
 
 def test_one_window_of_late_answers_sets_no_limit():
     # Guards against a limit after a pause of the process, whose answers all come late.
     account = RoomAccount(0.0)
     assert window(account, 0.0, inflation=5.0) is None
-    assert window(account, 0.1) is None
-    assert window(account, 0.2, inflation=5.0) is None
+    assert window(account, 0.05) is None
+    assert window(account, 0.1, inflation=5.0) is None
     assert account.limit_s == math.inf
 
 
@@ -110,9 +112,9 @@
 def test_lasting_congestion_sets_the_limit_to_what_targets_do(load, cause):
     # Guards against a limit that takes many round trips to fall to the capacity.
     account = RoomAccount(0.0)
-    account.add(10.0)
+    account.add(10.0, 0.0)
     window(account, 0.0, **load)
-    assert window(account, 0.1, **load) is cause
+    assert window(account, 0.05, **load) is cause
     assert account.limit_s == pytest.approx(2 * WORK_S * account.done_per_s)
 
 
@@ -131,9 +133,9 @@
     # Guards against a limit below a fair share of the targets' slots.
     account = RoomAccount(0.0)
     account.minimum_s = 0.5
-    account.add(10.0)
+    account.add(10.0, 0.0)
     for n in range(20):
-        window(account, 0.1 * n, inflation=3.0, requests=40)
+        window(account, 0.05 * n, inflation=3.0, requests=40)
     assert account.limit_s == 0.5
 
 
@@ -141,9 +143,9 @@
     # Guards against a limit that outlives the overload.
     account = RoomAccount(0.0)
     account.limit_s = 0.1
-    account.add(0.1)
+    account.add(0.1, 0.0)
     assert not account.has_room(WORK_S)
-    assert window(account, 0.1) is RoomChange.USE
+    assert window(account, 0.05) is RoomChange.USE
     raised_s = account.limit_s
     assert raised_s > 0.1
     assert window(account, 0.3) is None
@@ -157,7 +159,7 @@
     account = RoomAccount(0.0)
     account.limit_s = 0.001
     assert account.has_room(1.0)
-    account.add(1.0)
+    account.add(1.0, 0.0)
     assert not account.has_room(0.0005)
     account.remove(1.0)
     assert account.has_room(1.0)
