--- a/test/coordination/test_room.py
+++ b/test/coordination/test_room.py
@@ -390,3 +390,16 @@
         gateway.send(gateway.routes[1])
         gateway.time.run_until(1.0 + 0.02 * n)
     assert gateway.simulation.arrivals() - before == SHARDS
+
+
+@pytest.mark.parametrize(("shards", "attempts"), [(1, 1), (2, 3)])
+def test_a_retry_is_sent_while_requests_wait_only_if_it_is_needed(shards, attempts):
+    """Guards against retries that take room, and queries that fail for lack of one."""
+    gateway = RoomGateway()
+    for leaf in gateway.leafs(shards):
+        leaf.fault = "shed"
+    gateway.fill()
+    gateway.send(gateway.routes[1])
+    gateway.time.run_until(0.02)
+    # One of 12 shards may be missing; the second one is asked again.
+    assert sum(len(leaf.arrivals) for leaf in gateway.leafs(shards)) == attempts
