--- a/filbertshelf/state/limits.py
+++ b/filbertshelf/state/limits.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from math import inf
+from typing import TYPE_CHECKING
 
 from filbertshelf.clock import Clock
-from filbertshelf.state.publication import Fleet
 from filbertshelf.state.target import Target
 
+if TYPE_CHECKING:
+    # A gateway has no publication, and importing it takes memory.
+    from filbertshelf.state.publication import Fleet
+
 DECREASE_FACTOR = 0.7
 """The factor by which one decrease lowers a concurrency limit."""
 
