Mend findings of the review of cold targets and of refusals at a start

The position of an instance's permits is a phase, since a slot is a target's capacity. A cold target whose service names less than 0.5 requests a second gets no more than that; the minimum is for limits that targets name in a response. The refusal of an instance that isn't ready names all that may be missing. One function parses the numbers in headers of targets.

--- a/filbertshelf/coordination/cold_targets.py
+++ b/filbertshelf/coordination/cold_targets.py
@@ -18,7 +18,7 @@
     presumed_state,
 )
 from filbertshelf.state.directory import ListedTarget
-from filbertshelf.state.target_rate import Slot, TargetRate
+from filbertshelf.state.target_rate import PermitPhase, TargetRate
 
 SLOW_START_STEP_S = 0.5
 """Interval at which the cost factor of a target that turned warm is lowered."""
@@ -156,7 +156,7 @@
         else:
             is_new = entry.cold_rate is None
             if is_new:
-                entry.cold_rate = TargetRate(now, self._rng)
+                entry.cold_rate = TargetRate(now, self._rng, min_limit_per_s=0.0)
             rule = permit_rule(rate_per_s, service.cold_instances, self._bound)
             entry.cold_rate.set_permit_rule(rule.lifetime_s, rule.keeps_one)
             entry.cold_max_in_flight = rule.max_in_flight
@@ -164,8 +164,8 @@
                 # Wall clocks differ by milliseconds; with larger differences the
                 # permits lie as if at random.
                 epoch = now - self._clock.now().timestamp()
-                slot = Slot.choose(epoch, self._rank, entry.id)
-                entry.cold_rate.set_slot(slot, now)
+                phase = PermitPhase.choose(epoch, self._rank, entry.id)
+                entry.cold_rate.set_phase(phase, now)
             entry.cold_rate.set_instances(service.cold_instances, now)
             entry.cold_rate.set_limit(rate_per_s, now)
             if is_new:
--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -130,9 +130,8 @@
             return
         table = self._feed.table
         if table is None or not self._feed.ready:
-            self._refuse(
-                req, request_id, 503, "no configuration is known", NOT_READY_RETRY_S
-            )
+            reason = "the configuration, the targets or the evacuations are not known"
+            self._refuse(req, request_id, 503, reason, NOT_READY_RETRY_S)
             return
         request = self._make_request(req, request_id, table)
         if isinstance(request, _Refusal):
--- a/filbertshelf/protocol/target_responses.py
+++ b/filbertshelf/protocol/target_responses.py
@@ -196,13 +196,7 @@
 
 def parse_rate_limit(value: bytes) -> float:
     """Return a rate limit in requests a second; raises `MessageError`."""
-    try:
-        rate = float(value)
-    except ValueError as exc:
-        raise MessageError(f"the rate limit {value!r:.80} is no number") from exc
-    if not 0.0 <= rate < math.inf:
-        raise MessageError(f"the rate limit {value!r:.80} is out of range")
-    return rate
+    return _parse_number(value, "the rate limit")
 
 
 def parse_leaving(value: bytes) -> bool:
@@ -218,24 +212,23 @@
     Any number of seconds is accepted, the caller has to bound it. Raises `MessageError`
     for a date or a number below 0.
     """
-    try:
-        seconds = float(value)
-    except ValueError as exc:
-        raise MessageError(f"the time to return {value!r:.80} is no number") from exc
-    if not seconds >= 0.0:
-        raise MessageError(f"the time to return {value!r:.80} is out of range")
-    return seconds
+    return _parse_number(value, "the time to return", allows_infinity=True)
 
 
 def parse_cold_remaining(value: bytes) -> float:
     """Return the seconds for which a target is still cold; raises `MessageError`."""
+    return _parse_number(value, "the cold time") / 1000
+
+
+def _parse_number(value: bytes, name: str, allows_infinity: bool = False) -> float:
+    """Return a number of at least 0; raises `MessageError` that names it."""
     try:
-        milliseconds = float(value)
+        number = float(value)
     except ValueError as exc:
-        raise MessageError(f"the cold time {value!r:.80} is no number") from exc
-    if not 0.0 <= milliseconds < math.inf:
-        raise MessageError(f"the cold time {value!r:.80} is out of range")
-    return milliseconds / 1000
+        raise MessageError(f"{name} {value!r:.80} is no number") from exc
+    if not number >= 0.0 or (number == math.inf and not allows_infinity):
+        raise MessageError(f"{name} {value!r:.80} is out of range")
+    return number
 
 
 def error_response(status: int, retry_after_s: float | None = None) -> Response:
--- a/filbertshelf/state/target_rate.py
+++ b/filbertshelf/state/target_rate.py
@@ -9,7 +9,8 @@
 import attrs
 
 MIN_LIMIT_PER_S = 0.5
-"""A lower limit counts as this one, because only an answer tells when it ends."""
+"""A lower limit that a target names counts as this one, because only an answer tells
+when it ends."""
 
 PERMIT_LIFETIME_S = 2.0
 """How long a permit can be used; older ones would add up to bursts in a large fleet."""
@@ -39,7 +40,7 @@
 
 
 @attrs.frozen
-class Slot:
+class PermitPhase:
     """Where the permits of one instance lie in the interval between two of them.
 
     `epoch` is a moment that all instances agree on, in monotonic seconds, and `phase`
@@ -50,8 +51,8 @@
     phase: float
 
     @classmethod
-    def choose(cls, epoch: float, rank: int, target_id: str) -> Slot:
-        """Return the slot for a target of the instance with a rank in the fleet.
+    def choose(cls, epoch: float, rank: int, target_id: str) -> PermitPhase:
+        """Return the phase for a target of the instance with a rank in the fleet.
 
         Multiples of the golden ratio, modulo 1, are spread evenly whatever the number
         of instances. The targets are shifted, so that an instance doesn't get the
@@ -64,7 +65,7 @@
         """Return the time of the next permit."""
         return now + (self.epoch + self.phase * interval_s - now) % interval_s
 
-    def differs_from(self, other: Slot | None) -> bool:
+    def differs_from(self, other: PermitPhase | None) -> bool:
         """Return whether the permits lie elsewhere, apart from small clock changes."""
         if other is None or self.phase != other.phase:
             return True
@@ -89,21 +90,29 @@
         "_logged_at",
         "_logged_limit",
         "_malformed_logged_at",
+        "_min_limit_per_s",
         "_next_permit_at",
         "_permit_lifetime_s",
+        "_phase",
         "_rng",
         "_sent",
-        "_slot",
     )
 
-    def __init__(self, now: float, rng: random.Random):
+    def __init__(
+        self,
+        now: float,
+        rng: random.Random,
+        min_limit_per_s: float = MIN_LIMIT_PER_S,
+    ):
+        """Create without a limit; a lower one than the minimum counts as that."""
         self._rng = rng
+        self._min_limit_per_s = min_limit_per_s
         self._limit_per_s: float | None = None
         self._instances = 1
         self._interval_s = 0.0
         self._permit_lifetime_s = PERMIT_LIFETIME_S
         self._keeps_one = False
-        self._slot: Slot | None = None
+        self._phase: PermitPhase | None = None
         self._next_permit_at = now
         self._logged_limit: float | None = None
         self._logged_at = now
@@ -137,12 +146,12 @@
         self._permit_lifetime_s = lifetime_s
         self._keeps_one = keeps_one
 
-    def set_slot(self, slot: Slot, now: float) -> None:
+    def set_phase(self, phase: PermitPhase, now: float) -> None:
         """Set where the permits lie in the interval, instead of at random."""
-        if slot.differs_from(self._slot):
-            self._slot = slot
+        if phase.differs_from(self._phase):
+            self._phase = phase
             if self._interval_s:
-                self._next_permit_at = slot.next_at(now, self._interval_s)
+                self._next_permit_at = phase.next_at(now, self._interval_s)
 
     def allows(self, now: float) -> bool:
         """Return whether a sub-request may be sent now."""
@@ -185,9 +194,11 @@
         if self._limit_per_s is None:
             self._interval_s = 0.0
             return
-        self._interval_s = self._instances / max(MIN_LIMIT_PER_S, self._limit_per_s)
-        if self._slot is not None:
-            self._next_permit_at = self._slot.next_at(now, self._interval_s)
+        self._interval_s = self._instances / max(
+            self._min_limit_per_s, self._limit_per_s
+        )
+        if self._phase is not None:
+            self._next_permit_at = self._phase.next_at(now, self._interval_s)
             return
         if before_s:
             wait_s = (self._next_permit_at - now) * self._interval_s / before_s
--- a/test/state/test_cold.py
+++ b/test/state/test_cold.py
@@ -20,7 +20,7 @@
     presumed_state,
 )
 from filbertshelf.state.fleet_size import GROWTH
-from filbertshelf.state.target_rate import Slot, TargetRate
+from filbertshelf.state.target_rate import PermitPhase, TargetRate
 
 BOUND = ColdBound()
 
@@ -49,7 +49,7 @@
     for rank, rate in enumerate(rates):
         if has_ranks:
             epoch = -1e9 + rng.uniform(-CLOCK_ERROR_S, CLOCK_ERROR_S)
-            rate.set_slot(Slot.choose(epoch, rank, f"t{seed}"), 0.0)
+            rate.set_phase(PermitPhase.choose(epoch, rank, f"t{seed}"), 0.0)
         rate.set_permit_rule(rule.lifetime_s, rule.keeps_one)
         rate.set_instances(instances, 0.0)
         rate.set_limit(per_s, 0.0)
--- a/test/state/test_target_rate.py
+++ b/test/state/test_target_rate.py
@@ -67,3 +67,16 @@
     changes = [line for line in lines if line is not None]
     assert len(changes) <= 3
     assert (changes[0].before, changes[0].sent, changes[0].extra) == (None, 10, 3)
+
+
+def test_a_limit_below_the_usual_minimum_is_kept_if_the_caller_asks_for_that():
+    # Guards against a cold target whose service names a rate below the minimum for
+    # limits that targets name themselves.
+    rate = TargetRate(0.0, random.Random(1), min_limit_per_s=0.0)
+    rate.set_limit(0.1, 0.0)
+    sent = 0
+    for tenth in range(600):
+        if rate.allows(tenth / 10):
+            rate.spend(tenth / 10, False)
+            sent += 1
+    assert 5 <= sent <= 7
