Add route-now, which tells where a request would go without sending it

The metrics address answers GET /route?host=...&path=... with JSON; without a host or a path it serves the metrics, as before. The preview changes no state: rules with side effects have a twin without them (TargetRate.would_allow, RoomAccount.fits, WaitingRequests.known_load, CrashCounter.would_quarantine). The module is imported with the first question only.

Delegates.pick and pick_substitute drew a random member and are replaced by functions that return the candidates, from which Delegation draws.

--- a/filbertshelf/commands/main.py
+++ b/filbertshelf/commands/main.py
@@ -16,11 +16,12 @@
     explain,
     instance,
     match,
+    route_now,
     standins,
 )
 from filbertshelf.errors import FilbertshelfError
 
-MODULES = (instance, check, match, explain, demo, bench, capacity, standins)
+MODULES = (instance, check, match, explain, route_now, demo, bench, capacity, standins)
 
 
 def make_parser() -> argparse_flags.ArgumentParser:
--- a/filbertshelf/coordination/delegation.py
+++ b/filbertshelf/coordination/delegation.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 import secrets
-from collections.abc import Callable, Collection, Coroutine, Iterable, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
 import attrs
@@ -28,7 +28,7 @@
 from filbertshelf.state.delegation import (
     Delegates,
     outside_regions,
-    pick_substitute,
+    substitutes,
 )
 from filbertshelf.state.members import Address, Member
 from filbertshelf.state.routing import Repeat, Route
@@ -140,48 +140,56 @@
 
     def choose_delegate(self, request: RoutedRequest) -> Member | None:
         """Return the instance that should run the query, or None for this one."""
+        return self._choose(self.delegate_candidates(request.route))
+
+    def choose_substitute(self, request: RoutedRequest) -> Member | None:
+        """Return an instance to run a request because this one reaches no target."""
+        return self._choose(self.substitute_candidates(request.route))
+
+    def _choose(self, candidates: Sequence[Member]) -> Member | None:
+        return self._rng.choice(candidates) if candidates else None
+
+    def delegate_candidates(self, route: Route) -> list[Member]:
+        """Return the instances of which one runs a query, none if this one does."""
         if self.delegates.includes_self:
-            return None
-        shards = len(request.route.gather.shards)
+            return []
+        shards = len(route.gather.shards)
         if (
             self.full_mesh
             and self.delegates.time_saved_s(shards, self.own_cost_us) <= 0
         ):
-            return None
+            return []
         members = self.delegates.local + self.delegates.remote
-        avoided = {*self._avoided(), *self._outside_regions(request, members)}
-        return self.delegates.pick(self._rng, avoided)
+        avoided = {*self._avoided(), *self._outside_regions(route, members)}
+        return self.delegates.candidates(avoided)
 
-    def choose_substitute(self, request: RoutedRequest) -> Member | None:
-        """Return an instance to run a request because this one reaches no target."""
+    def substitute_candidates(self, route: Route) -> list[Member]:
+        """Return the instances of which one runs a request while this one can't."""
         known = [*self.members(), *self.delegates.local, *self.delegates.remote]
-        outside = self._outside_regions(request, known)
+        outside = self._outside_regions(route, known)
         avoided = {self.own_id, *self._avoided(), *outside}
-        if request.route.gather is not None and not self.full_mesh:
-            delegate = self.delegates.pick(self._rng, avoided)
-            if delegate is not None:
-                return delegate
+        if route.gather is not None and not self.full_mesh:
+            delegates = self.delegates.candidates(avoided)
+            if delegates:
+                return delegates
         now = self._context.clock.monotonic()
         proven = [id_ for id_, until in self._proven_until.items() if until > now]
         members = (member for member in self.members() if member.id != self.own_id)
-        return pick_substitute(members, proven, avoided, self.data_centre, self._rng)
+        return substitutes(members, proven, avoided, self.data_centre)
 
-    def _outside_regions(
-        self, request: RoutedRequest, members: Iterable[Member]
-    ) -> set[str]:
+    def _outside_regions(self, route: Route, members: Iterable[Member]) -> set[str]:
         return outside_regions(
-            members, request.route.allowed_regions, self.regions, self.data_centre
+            members, route.allowed_regions, self.regions, self.data_centre
         )
 
-    def _avoided(self) -> Collection[str]:
+    def _avoided(self) -> list[str]:
         now = self._context.clock.monotonic()
-        self._avoided_until = {
-            id_: until for id_, until in self._avoided_until.items() if until > now
-        }
-        return self._avoided_until
+        return [id_ for id_, until in self._avoided_until.items() if until > now]
 
     def avoid(self, member: Member, seconds: float = AVOID_S) -> None:
         """Delegate nothing to a member for some seconds."""
+        # Drops the expired entries, so that their number stays bounded.
+        self._avoided_until = {id_: self._avoided_until[id_] for id_ in self._avoided()}
         self._avoided_until[member.id] = self._context.clock.monotonic() + seconds
         self._proven_until.pop(member.id, None)
 
--- a/filbertshelf/coordination/gateway.py
+++ b/filbertshelf/coordination/gateway.py
@@ -188,6 +188,7 @@
         self.ready_server = self._operator_server(
             cfg.ready_listen, ReadyCheck(self.ready)
         )
+        self.metrics_server: HttpServer | None = None
         self._pause_monitor = PauseMonitor(self.clock, PAUSE_THRESHOLD_S)
         self._stopping = False
         self._fleet_size = FleetSizeEstimator(self.clock.monotonic())
@@ -261,6 +262,16 @@
             lambda: self._untaken.total,
         )
 
+    def _preview_route(self, query: bytes) -> Response | None:
+        """Return where a request would go now, None if the query names no request."""
+        # Most gateways are never asked, so this is not imported at the start.
+        from filbertshelf.coordination import route_preview
+
+        sources = route_preview.Sources(
+            self.context, self.feed, self.delegation, self.router.room
+        )
+        return route_preview.answer(sources, query)
+
     def _member_count(self) -> int:
         return self.membership.member_count()
 
@@ -277,8 +288,9 @@
             self.server,
         ]
         if self.cfg.metrics_listen is not None:
-            page = MetricsHandler(self.metrics)
-            services.append(self._operator_server(self.cfg.metrics_listen, page))
+            page = MetricsHandler(self.metrics, self._preview_route)
+            self.metrics_server = self._operator_server(self.cfg.metrics_listen, page)
+            services.append(self.metrics_server)
         for service in services:
             await self.add_runtime_dependency(service)
         events.emit(
--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -387,13 +387,13 @@
         """
         candidates = [
             entry.refreshed_candidate()
-            for entry in self._entries_within(service, regions)
+            for entry in self.entries_within(service, regions)
             if (restrict_to is None or entry.id in restrict_to) and entry.allows(now)
         ]
         chosen = choose_cheapest(candidates, exclude, now, self._rng)
         return None if chosen is None else self._entries[chosen.state.name]
 
-    def _entries_within(
+    def entries_within(
         self, service: str, regions: frozenset[str]
     ) -> Collection[TargetEntry]:
         """Return the targets of a service, without `regions` in all regions."""
@@ -413,7 +413,7 @@
         self, service: str, now: float, regions: frozenset[str] = frozenset()
     ) -> Reason | None:
         """Return why no target may be sent a request now, None if one may be."""
-        entries = self._entries_within(service, regions)
+        entries = self.entries_within(service, regions)
         # Usually the first target will do, and each query asks for each shard.
         for entry in entries:
             if entry.state.is_available() and entry.allows(now):
@@ -437,7 +437,7 @@
         """
         returns = [
             entry.withholding.until - now
-            for entry in self._entries_within(service, regions)
+            for entry in self.entries_within(service, regions)
             if entry.withholding
             and entry.withholding.cause is Cause.RETRY_LATER
             and not entry.evacuated
--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -68,7 +68,7 @@
 
 
 @attrs.define(eq=False)
-class _Group:
+class Group:
     """The services of some requests, with their capacity and waiting requests."""
 
     name: str
@@ -113,7 +113,7 @@
     def __init__(
         self,
         control: RoomControl,
-        group: _Group,
+        group: Group,
         request: RoutedRequest,
         load: RouteLoad,
         now: float,
@@ -274,16 +274,16 @@
         self._table: RouteTable | None = None
         self._contested: frozenset[str] = frozenset()
         """The services that routes of different priorities use."""
-        self._groups: dict[tuple[str, ...], _Group] = {}
-        self._group_by_route: dict[str, _Group | None] = {}
-        self._shown: dict[str, _Group] = {}
+        self._groups: dict[tuple[str, ...], Group] = {}
+        self._group_by_route: dict[str, Group | None] = {}
+        self._shown: dict[str, Group] = {}
         """The groups that have metrics, by name."""
 
     def now(self) -> float:
         """Return the monotonic time."""
         return self._clock.monotonic()
 
-    def groups(self) -> Collection[_Group]:
+    def groups(self) -> Collection[Group]:
         """Return the groups of services whose use is limited."""
         return self._groups.values()
 
@@ -320,7 +320,7 @@
             self._leave_queue(claim)
             claim.end()
 
-    def on_room(self, group: _Group) -> None:
+    def on_room(self, group: Group) -> None:
         """Adjust the limit of a group, and start the requests that it has room for."""
         now = self.now()
         account = group.account
@@ -336,7 +336,7 @@
         finally:
             group.starting = False
 
-    def _start_waiting(self, group: _Group, now: float) -> None:
+    def _start_waiting(self, group: Group, now: float) -> None:
         while group.waiting:
             first = group.waiting.first(now)
             if not group.account.has_room(first.work_s):
@@ -350,7 +350,7 @@
 
     # Groups.
 
-    def _group_of(self, request: RoutedRequest) -> _Group | None:
+    def _group_of(self, request: RoutedRequest) -> Group | None:
         """Return the group of a request's services, None if it needs no admission."""
         self._apply_table(request.table)
         if not self._contested:
@@ -367,14 +367,14 @@
         group = self._group_by_route[route.name] = self._group_named(services)
         return group
 
-    def _group_named(self, services: tuple[str, ...]) -> _Group | None:
+    def _group_named(self, services: tuple[str, ...]) -> Group | None:
         if self._contested.isdisjoint(services):
             return None
         key = tuple(sorted(set(services)))
         group = self._groups.get(key)
         if group is None:
             name = key[0] if len(key) == 1 else f"{key[0]} and {len(key) - 1} more"
-            group = self._groups[key] = _Group(name, key, RoomAccount(self.now()))
+            group = self._groups[key] = Group(name, key, RoomAccount(self.now()))
             self._show(group)
         self._refresh_minimum(group)
         return group
@@ -393,7 +393,7 @@
             # Its requests still end, and start those that wait.
             self._hide(self._groups.pop(key))
 
-    def _refresh_minimum(self, group: _Group) -> None:
+    def _refresh_minimum(self, group: Group) -> None:
         now = self.now()
         if now - group.minimum_at >= MINIMUM_INTERVAL_S:
             group.minimum_at = now
@@ -429,7 +429,7 @@
             now,
         )
         claim.waiting = entry
-        predicted_s = self._predicted_wait_s(claim, now)
+        predicted_s = predicted_wait_s(group, entry, now)
         if now + predicted_s + claim.load.typical_s > request.deadline:
             claim.waiting = None
             self._refuse(claim, "no time is left", now, predicted_s)
@@ -441,15 +441,12 @@
                 self._refuse(claim, "the queue is full", now, predicted_s)
                 return
             displaced_claim = group.claims[displaced]
-            wait_s = self._predicted_wait_s(displaced_claim, now)
+            wait_s = predicted_wait_s(group, displaced, now)
             self._leave_queue(displaced_claim)
             self._refuse(displaced_claim, "displaced", now, wait_s, request)
         group.waiting.add(entry)
         group.claims[entry] = claim
-        decide_at = received_at + max(
-            MIN_WAIT_SHARE * objective_s,
-            WAIT_SHARE * objective_s - request.return_margin_s,
-        )
+        decide_at = received_at + decision_delay_s(objective_s, request.return_margin_s)
         claim.timer = self._call_later(
             max(0.0, decide_at - now), lambda: self._refuse_if_late(claim)
         )
@@ -472,7 +469,7 @@
         """
         claim.timer = None
         now = self.now()
-        predicted_s = self._predicted_wait_s(claim, now)
+        predicted_s = predicted_wait_s(claim.group, claim.waiting, now)
         needed_s = PREDICTION_MARGIN * predicted_s + claim.load.typical_s
         is_late = now + needed_s > claim.request.objective_at
         if is_late or claim.group.waiting.is_overloaded(now):
@@ -487,15 +484,6 @@
         self._leave_queue(claim)
         self._refuse(claim, "it would be late", self.now(), predicted_s)
 
-    def _predicted_wait_s(self, claim: RoomClaim, now: float) -> float:
-        """Return the predicted seconds until a waiting request starts."""
-        account = claim.group.account
-        ahead_s = claim.group.waiting.work_ahead_s(claim.waiting, now)
-        limit_s = max(account.limit_s, account.minimum_s)
-        excess_s = account.running_s + claim.load.work_s - limit_s
-        drain_per_s = account.drain_per_s()
-        return max(0.0, ahead_s + excess_s) / drain_per_s if drain_per_s else 0.0
-
     def _leave_queue(self, claim: RoomClaim) -> None:
         if claim.timer is not None:
             claim.timer.cancel()
@@ -537,7 +525,7 @@
     # Log and metrics.
 
     def _log_change(
-        self, group: _Group, before_s: float, change: RoomChange, now: float
+        self, group: Group, before_s: float, change: RoomChange, now: float
     ) -> None:
         if now - group.logged_at < LINE_INTERVAL_S:
             return
@@ -552,7 +540,7 @@
             reason=change.value,
         )
 
-    def _show(self, group: _Group) -> None:
+    def _show(self, group: Group) -> None:
         """Show a group in the metrics, whose number is bounded."""
         if len(self._shown) >= MAX_GROUPS_WITH_METRICS or group.name in self._shown:
             return
@@ -562,7 +550,7 @@
         metrics.room_limit.labels(name).set_function(lambda: group.account.limit_s)
         metrics.room_running.labels(name).set_function(lambda: group.account.running_s)
 
-    def _hide(self, group: _Group) -> None:
+    def _hide(self, group: Group) -> None:
         if self._shown.get(group.name) is not group:
             return
         del self._shown[group.name]
@@ -571,6 +559,21 @@
             gauge.remove(group.name)
 
 
+def predicted_wait_s(group: Group, request: WaitingRequest, now: float) -> float:
+    """Return the predicted seconds until a waiting request starts."""
+    account = group.account
+    ahead_s = group.waiting.work_ahead_s(request, now)
+    limit_s = max(account.limit_s, account.minimum_s)
+    excess_s = account.running_s + request.work_s - limit_s
+    drain_per_s = account.drain_per_s()
+    return max(0.0, ahead_s + excess_s) / drain_per_s if drain_per_s else 0.0
+
+
+def decision_delay_s(objective_s: float, return_margin_s: float) -> float:
+    """Return how long a request waits until it is decided whether it would be late."""
+    return max(MIN_WAIT_SHARE * objective_s, WAIT_SHARE * objective_s - return_margin_s)
+
+
 def contested_services(table: RouteTable) -> frozenset[str]:
     """Return the services that routes of different priorities use."""
     priorities: dict[str, int] = {}
--- a/filbertshelf/errors.py
+++ b/filbertshelf/errors.py
@@ -301,6 +301,22 @@
     exit_code = 69
 
 
+class GatewayUnreachableError(UserError):
+    """The metrics address of a gateway gave no answer."""
+
+    code = "gateway_unreachable"
+    status = 503
+    exit_code = 71
+
+
+class GatewayAnswerError(UserError):
+    """A gateway doesn't tell where requests go, or not as this build expects it."""
+
+    code = "gateway_answer"
+    status = 502
+    exit_code = 72
+
+
 class PathError(RequestError):
     """The API for callers has no such path or method."""
 
--- a/filbertshelf/gateway_metrics.py
+++ b/filbertshelf/gateway_metrics.py
@@ -18,6 +18,9 @@
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
+ROUTE_PATH = b"/route"
+"""The path at which the metrics server tells where a request would go."""
+
 
 class GatewayMetrics:
     """All metrics of one gateway, in a registry that no other gateway shares."""
@@ -106,15 +109,27 @@
 
 
 class MetricsHandler:
-    """Serves the metrics to a collector, whatever path it requests."""
-
-    def __init__(self, metrics: GatewayMetrics):
+    """Serves the metrics to a collector at any path, apart from route previews."""
+
+    def __init__(
+        self,
+        metrics: GatewayMetrics,
+        preview: Callable[[bytes], Response | None] = lambda query: None,
+    ):
+        """`preview` answers a query string, or returns None if it isn't one for it."""
         self._metrics = metrics
+        self._preview = preview
 
     def handle(self, req: Request) -> None:
-        """Send a response with all metrics."""
-        headers = ((b"Content-Type", CONTENT_TYPE),)
-        req.reply(Response(200, headers, self._metrics.render()))
+        """Send a response with all metrics, or with the preview of a request."""
+        path, _, query = req.target.partition(b"?")
+        response = None
+        if path == ROUTE_PATH and req.method == b"GET":
+            response = self._preview(query)
+        if response is None:
+            headers = ((b"Content-Type", CONTENT_TYPE),)
+            response = Response(200, headers, self._metrics.render())
+        req.reply(response)
 
     def limits(self) -> Limits:
         """Return the default request limits."""
--- a/filbertshelf/state/crashes.py
+++ b/filbertshelf/state/crashes.py
@@ -85,6 +85,13 @@
         record = self._unexpired_record(fingerprint, self._clock.monotonic())
         return record is not None and record.total() >= CRASHES_TO_QUARANTINE
 
+    def would_quarantine(self, fingerprint: str) -> bool:
+        """Return what `is_quarantined` would return, without dropping old records."""
+        record = self._records.get(fingerprint)
+        if record is None or self._clock.monotonic() - record.last_at > RETENTION_S:
+            return False
+        return record.total() >= CRASHES_TO_QUARANTINE
+
     def clear(self, fingerprint: str) -> None:
         """Remove the crashes of a request that a target has answered."""
         self._records.pop(fingerprint, None)
--- a/filbertshelf/state/delegation.py
+++ b/filbertshelf/state/delegation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 import zlib
 from collections.abc import Collection, Iterable, Mapping, Set
 
@@ -121,13 +120,13 @@
         mean = sum(costs) / len(costs)
         return shards * (own_cost_us - mean) / 1e6 - FORWARDING_COST_S
 
-    def pick(self, rng: random.Random, avoid: Collection[str]) -> Member | None:
-        """Return a random delegate that isn't in `avoid`, None if there is none."""
+    def candidates(self, avoid: Collection[str]) -> list[Member]:
+        """Return the delegates of the first group that has some not in `avoid`."""
         for group in (self.preferred, self.local, self.remote):
             usable = [member for member in group if member.id not in avoid]
             if usable:
-                return rng.choice(usable)
-        return None
+                return usable
+        return []
 
 
 def _preferred(delegates: tuple[Member, ...], own: Member) -> tuple[Member, ...]:
@@ -171,25 +170,24 @@
     }
 
 
-def pick_substitute(
+def substitutes(
     members: Iterable[Member],
     proven: Collection[str],
     avoid: Collection[str],
     data_centre: str,
-    rng: random.Random,
-) -> Member | None:
-    """Return an instance for the requests of one that reaches no target.
+) -> list[Member]:
+    """Return the instances for the requests of one that reaches no target.
 
-    It is one of the `proven`, which have taken a request of late, once there are
+    They are the `proven`, which have taken a request of late, once there are
     `MIN_SUBSTITUTES`. Others may be cut off as well, most likely those in the same
     `data_centre` as one that is; instances in it are chosen only if none in `avoid`,
-    which have refused of late, is in it too. Returns None if all are in `avoid`.
+    which have refused of late, is in it too. None is left if all are in `avoid`.
     """
     alive = [member for member in members if member.status is Status.ALIVE]
     usable = [member for member in alive if member.id not in avoid]
     known = [member for member in usable if member.id in proven]
     if len(known) >= MIN_SUBSTITUTES:
-        return rng.choice(known)
+        return known
     refused_here = any(
         member.id in avoid and member.data_centre == data_centre for member in alive
     )
@@ -201,5 +199,5 @@
     ]
     for group in (preferred, unproven, known):
         if group:
-            return rng.choice(group)
-    return None
+            return group
+    return []
--- a/filbertshelf/state/room.py
+++ b/filbertshelf/state/room.py
@@ -264,11 +264,15 @@
 
     def has_room(self, work_s: float) -> bool:
         """Return whether a request may start; one always may if none runs."""
-        if self.running_s <= 0.0 or self.running_s + work_s <= self.limit_s:
+        if self.fits(work_s):
             return True
         self._used = True
         return False
 
+    def fits(self, work_s: float) -> bool:
+        """Return what `has_room` would return, without recording a use of the limit."""
+        return self.running_s <= 0.0 or self.running_s + work_s <= self.limit_s
+
     def add(self, work_s: float, now: float) -> None:
         """Count work that starts."""
         if not self.running_s:
@@ -471,6 +475,10 @@
         load.priority = route.priority
         return load
 
+    def known_load(self, route: Route, clock: Clock) -> RouteLoad:
+        """Return the load of a route, without storing the one of a new route."""
+        return self._loads.get(route.name) or RouteLoad(clock, self.pace)
+
     def heaviest_s(self) -> float:
         """Return the work of the heaviest route."""
         return max((load.work_s for load in self._loads.values()), default=0.0)
--- a/filbertshelf/state/selection.py
+++ b/filbertshelf/state/selection.py
@@ -70,6 +70,23 @@
             queue += 1
         return per_request * queue
 
+    def cost_s(self, now: float, default_s: float) -> float:
+        """Return the expected seconds, weighted by distance and coldness."""
+        distance = 1.0 if self.local else REMOTE_FACTOR
+        return self.expected_s(now, default_s) * distance * self.cost_factor
+
+
+def assumed_latency_s(available: Iterable[Candidate]) -> float:
+    """Return the latency that is assumed for a target without answers."""
+    # The typical latency excludes the penalties for failures, so a new target is
+    # preferred if all its siblings fail.
+    typical = [
+        latency_s
+        for candidate in available
+        if (latency_s := candidate.state.typical_latency_s)
+    ]
+    return NEW_TARGET_FACTOR * min(typical) if typical else DEFAULT_LATENCY_S
+
 
 def choose_cheapest(
     candidates: Iterable[Candidate],
@@ -85,21 +102,12 @@
     ]
     if len(available) < 2:
         return available[0] if available else None
-    # The typical latency excludes the penalties for failures, so a new target is
-    # preferred if all its siblings fail.
-    typical = [
-        latency_s
-        for candidate in available
-        if (latency_s := candidate.state.typical_latency_s)
-    ]
-    default_s = NEW_TARGET_FACTOR * min(typical) if typical else DEFAULT_LATENCY_S
+    default_s = assumed_latency_s(available)
     cheapest = available[0]
     lowest_cost = math.inf
     for candidate in available:
-        distance = 1.0 if candidate.local else REMOTE_FACTOR
         jitter = 1.0 + JITTER * rng.random()
-        expected_s = candidate.expected_s(now, default_s)
-        cost = expected_s * distance * candidate.cost_factor * jitter
+        cost = candidate.cost_s(now, default_s) * jitter
         if cost < lowest_cost:
             cheapest = candidate
             lowest_cost = cost
--- a/filbertshelf/state/target_rate.py
+++ b/filbertshelf/state/target_rate.py
@@ -151,6 +151,10 @@
         self._drop_expired(now)
         return self._next_permit_at <= now
 
+    def would_allow(self, now: float) -> bool:
+        """Return what `allows` would return, without dropping expired permits."""
+        return not self._interval_s or self._next_valid_at(now) <= now
+
     def spend(self, now: float, is_extra: bool) -> None:
         """Use a permit for a sub-request and count it; a hedge or retry is extra."""
         self._sent += 1
@@ -197,12 +201,14 @@
 
     def _drop_expired(self, now: float) -> None:
         """Skip the permits that were not used in time."""
+        self._next_permit_at = self._next_valid_at(now)
+
+    def _next_valid_at(self, now: float) -> float:
+        """Return the time of the first permit that has not expired."""
         expired_s = now - self._permit_lifetime_s - self._next_permit_at
         if expired_s <= 0:
-            return
+            return self._next_permit_at
         if self._keeps_one:
-            self._next_permit_at += expired_s
-        else:
-            self._next_permit_at += (
-                math.ceil(expired_s / self._interval_s) * self._interval_s
-            )
+            return self._next_permit_at + expired_s
+        skipped = math.ceil(expired_s / self._interval_s)
+        return self._next_permit_at + skipped * self._interval_s
--- a/test/platform/test_imports.py
+++ b/test/platform/test_imports.py
@@ -33,6 +33,7 @@
     # The command line, measurements and stand-ins.
     "filbertshelf.bench",
     "filbertshelf.commands.main",
+    "filbertshelf.coordination.route_preview",
     "filbertshelf.explain",
     "filbertshelf.standins",
     # HDR histograms, which take 22 KB each for all buckets.
--- a/test/state/test_delegation.py
+++ b/test/state/test_delegation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import random
 
 import pytest
 
@@ -71,12 +70,13 @@
 
 def test_remote_delegates_are_used_when_no_local_one_is_left():
     delegates = Delegates.choose(fleet(30), member("x", "a", SLOW))
-    rng = random.Random(1)
     local = {m.id for m in delegates.local}
-    assert delegates.pick(rng, ()).data_centre == "a"
-    assert delegates.pick(rng, local).data_centre != "a"
+    assert {m.data_centre for m in delegates.candidates(())} == {"a"}
+    remote = {m.data_centre for m in delegates.candidates(local)}
+    assert remote
+    assert "a" not in remote
     all_ids = {m.id for m in (*delegates.local, *delegates.remote)}
-    assert delegates.pick(rng, all_ids) is None
+    assert delegates.candidates(all_ids) == []
 
 
 def test_only_data_centres_near_the_shards_have_delegates():
@@ -86,7 +86,9 @@
     delegates = Delegates.choose(fleet(30), own, frozenset(("a", "b")))
     assert {m.data_centre for m in delegates.remote} == {"a", "b"}
     assert (delegates.local, delegates.includes_self) == ((), False)
-    assert delegates.pick(random.Random(1), ()).data_centre in "ab"
+    chosen = {m.data_centre for m in delegates.candidates(())}
+    assert chosen
+    assert chosen <= {"a", "b"}
     alone = Delegates.choose([own], own, frozenset(("a", "b")))
     assert alone.includes_self
 
@@ -109,9 +111,10 @@
 def test_another_delegate_is_used_while_the_preferred_ones_are_avoided():
     delegates = Delegates.choose(fleet(30, fast=3), member("x", "a", SLOW))
     preferred = {m.id for m in delegates.preferred}
-    rng = random.Random(1)
-    assert {delegates.pick(rng, ()).id for _ in range(50)} == preferred
-    assert delegates.pick(rng, preferred).id not in preferred
+    assert {m.id for m in delegates.candidates(())} == preferred
+    others = {m.id for m in delegates.candidates(preferred)}
+    assert others
+    assert not others & preferred
 
 
 @pytest.mark.parametrize(
--- a/test/state/test_reachability.py
+++ b/test/state/test_reachability.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import random
-
-from filbertshelf.state.delegation import MIN_SUBSTITUTES, pick_substitute
+from filbertshelf.state.delegation import MIN_SUBSTITUTES, substitutes
 from filbertshelf.state.members import Member, Status
 from filbertshelf.state.reachability import FAILURE_WINDOW_S, Reachability
 
@@ -40,24 +38,25 @@
 def test_a_substitute_is_near_until_one_there_refuses():
     # Guards against one refusal after the other where a whole data centre is cut off.
     members = _members(9, 3)
-    rng = random.Random(1)
-    assert pick_substitute(members, [], [], "here", rng).data_centre == "here"
-    assert pick_substitute(members, [], ["m0"], "here", rng).data_centre == "there"
+    near = substitutes(members, [], [], "here")
+    assert {member.data_centre for member in near} == {"here"}
+    far = substitutes(members, [], ["m0"], "here")
+    assert {member.data_centre for member in far} == {"there"}
 
 
 def test_requests_are_distributed_among_several_proven_substitutes():
     # Guards against one instance that gets all requests of those that are cut off.
     members = _members(4, 4)
     proven = [member.id for member in members[:MIN_SUBSTITUTES]]
-    rng = random.Random(1)
-    picked = {pick_substitute(members, proven, [], "here", rng).id for _ in range(99)}
+    picked = {member.id for member in substitutes(members, proven, [], "here")}
     assert picked == set(proven)
     few = proven[:-1]
-    assert pick_substitute(members, few, [], "here", rng).id not in few
+    others = {member.id for member in substitutes(members, few, [], "here")}
+    assert others
+    assert not others & set(few)
 
 
 def test_a_member_that_is_not_alive_or_refused_is_no_substitute():
     leaving = Member("m1", "here", ("10.0.0.1", 1), 1, Status.LEAVING)
     refused = Member("m2", "here", ("10.0.0.1", 2), 1)
-    rng = random.Random(1)
-    assert pick_substitute([leaving, refused], ["m2"], ["m2"], "here", rng) is None
+    assert substitutes([leaving, refused], ["m2"], ["m2"], "here") == []
