--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -37,7 +37,7 @@
 
 WAIT_SHARE = 0.25
 """The share of its latency objective within which a request is refused if it can't be
-answered within the objective."""
+answered within the objective. A shorter deadline takes the place of the objective."""
 
 MIN_WAIT_SHARE = 0.1
 """The least share of its objective that a request may wait, even if the answer needs
@@ -244,6 +244,11 @@
         account.record_latency(self.started_at, inflation)
         self.load.record(seconds, account.limited)
 
+    @property
+    def answer_by(self) -> float:
+        """Return until when an answer is within the objective and the deadline."""
+        return min(self.request.objective_at, self.request.deadline)
+
     @property
     def others_wait(self) -> bool:
         """Return whether requests wait, so that extra sub-requests are not sent."""
@@ -415,14 +420,16 @@
     def _enqueue(self, claim: RoomClaim, now: float) -> None:
         """Make a request wait, unless it or a less valuable one has to be refused."""
         group, request = claim.group, claim.request
-        objective_s = request.route.latency_objective_s
         received_at = request.http_request.received_at
+        objective_s = min(
+            request.route.latency_objective_s, request.deadline - received_at
+        )
         entry = WaitingRequest(
             request.text_id,
             request.route.name,
             request.data_centre,
             request.route.priority,
-            request.objective_at,
+            claim.answer_by,
             request.deadline,
             received_at + WAIT_SHARE * objective_s,
             claim.load,
@@ -474,11 +481,11 @@
         now = self.now()
         predicted_s = self._predicted_wait_s(claim, now)
         needed_s = PREDICTION_MARGIN * predicted_s + claim.load.typical_s
-        is_late = now + needed_s > claim.request.objective_at
+        is_late = now + needed_s > claim.answer_by
         if is_late or claim.group.waiting.is_overloaded(now):
             self._refuse_late(claim, predicted_s)
             return
-        latest_start_s = claim.request.objective_at - claim.load.typical_s - now
+        latest_start_s = claim.answer_by - claim.load.typical_s - now
         claim.timer = self._call_later(
             latest_start_s, lambda: self._refuse_late(claim, predicted_s)
         )
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -430,11 +430,17 @@
             may_have_run and not self._repeatable
         ):
             return False
+        # What no target can have received is no repeat.
+        is_repeat = bool(self._sent_to)
         room = self._request.room
-        if room is not None and room.others_wait and not self._listener.is_needed(self):
+        if (
+            is_repeat
+            and room is not None
+            and room.others_wait
+            and not self._listener.is_needed(self)
+        ):
             return False
-        # What no target can have received is no repeat.
-        if self._may_send_more() and self._try_send(now, bool(self._sent_to)):
+        if self._may_send_more() and self._try_send(now, is_repeat):
             return True
         if (
             classification.other_target
--- a/test/coordination/test_room.py
+++ b/test/coordination/test_room.py
@@ -403,3 +403,27 @@
     gateway.time.run_until(0.02)
     # One of 12 shards may be missing; the second one is asked again.
     assert sum(len(leaf.arrivals) for leaf in gateway.leafs(shards)) == attempts
+
+
+def test_an_attempt_that_reached_no_target_is_made_again_while_requests_wait():
+    """Guards against a shard that is lost because one replica takes no connection."""
+    gateway = RoomGateway()
+    unreachable, other = gateway.leafs(1)
+    unreachable.fault = "refused"
+    gateway.fill()
+    gateway.send(gateway.routes[1])
+    gateway.time.run_until(0.02)
+    assert len(other.arrivals) == 1
+
+
+def test_a_deadline_before_the_objective_ends_the_wait():
+    """Guards against a request that waits until its caller has given up."""
+    gateway = RoomGateway()
+    for leaf in gateway.leafs():
+        leaf.fault = "silent"
+    gateway.fill()
+    waiting = gateway.send(gateway.routes[1], deadline_s=0.1)
+    assert gateway.waiting == 1
+    gateway.time.run_until(0.5)
+    assert waiting.refused
+    assert waiting.elapsed_s <= 0.25 * 0.1
