Start waiting requests in a call of their own, and free finished ones

A start ran inside the callback of another request's shard, where an error lost that shard. Claims drop their request when they start, end or are refused. The choice of the first request is made only when the lightest one has room, and late requests of a route count also if an older request of a slower route is early.

--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -110,6 +110,8 @@
         runner = self._local or self._delegated
         if runner is not None:
             runner.on_disconnect()
+        # The runner holds this object, so the reference would keep both in a cycle.
+        self._local = None
         self._release_room()
 
     def on_resume(self) -> None:
--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -34,6 +34,7 @@
     retry_after_s,
 )
 from filbertshelf.state.routing import RouteTable
+from filbertshelf.supervision import log_unexpected
 
 WAIT_SHARE = 0.25
 """The share of its latency objective within which a request is refused if it can't be
@@ -76,7 +77,7 @@
     account: RoomAccount
     waiting: WaitingRequests = attrs.field(factory=WaitingRequests)
     claims: dict[WaitingRequest, RoomClaim] = attrs.field(factory=dict)
-    starting: bool = False
+    start_timer: Timer | None = None
     minimum_at: float = -math.inf
     logged_at: float = -math.inf
     logged_limit_s: float = math.inf
@@ -94,10 +95,12 @@
         "_failed",
         "_half_recorded",
         "_held_s",
+        "_objective_at",
         "_rule",
         "_share_s",
         "_short",
         "_work_s",
+        "answer_by",
         "arrived_at",
         "group",
         "load",
@@ -122,10 +125,12 @@
     ):
         self._control = control
         self.group = group
-        self.request = request
         self.load = load
-        self.on_start = on_start
-        self.on_refused = on_refused
+        self.request: RoutedRequest | None = request
+        self.on_start: Callable[[], None] | None = on_start
+        self.on_refused: Callable[[RoutedResult], None] | None = on_refused
+        self._objective_at = request.objective_at
+        self.answer_by = min(request.objective_at, request.deadline)
         self.arrived_at = now
         self.started_at = math.inf
         self.waited_s = 0.0
@@ -155,16 +160,24 @@
         self.group.account.add(self._work_s, now)
         self.group.account.record_start(self, self.load, now)
 
+    def drop_references(self) -> None:
+        """Drop what would keep the request and this claim in a reference cycle.
+
+        Late answers of targets still need the claim.
+        """
+        self.request = self.on_start = self.on_refused = None
+
     def end(self) -> None:
         """Give back what the request still holds."""
         if self._ended:
             return
         self._ended = True
+        self.drop_references()
         if self.started_at == math.inf:
             return
         account = self.group.account
         account.remove(self._held_s)
-        account.forget(self)
+        account.forget(self, self.load)
         if self._asked > 0:
             is_short = self._is_short()
             account.record_end(self.started_at, is_short or self._is_late())
@@ -186,7 +199,7 @@
 
     def _is_late(self) -> bool:
         """Return whether load has made the answer late."""
-        late = self._control.now() > self.request.objective_at + TIMER_TOLERANCE_S
+        late = self._control.now() > self._objective_at + TIMER_TOLERANCE_S
         return late and self._factor > LATE_INFLATION_FACTOR
 
     # Reports of the request's calls.
@@ -238,17 +251,12 @@
         now = self._control.now()
         seconds = now - self.started_at
         account = self.group.account
-        account.forget(self)
+        account.forget(self, self.load)
         self._factor = seconds / self._work_s
         inflation = self.load.inflation(seconds)
         account.record_latency(self.started_at, inflation)
         self.load.record(seconds, account.limited)
 
-    @property
-    def answer_by(self) -> float:
-        """Return until when an answer is within the objective and the deadline."""
-        return min(self.request.objective_at, self.request.deadline)
-
     @property
     def others_wait(self) -> bool:
         """Return whether requests wait, so that extra sub-requests are not sent."""
@@ -326,32 +334,51 @@
             claim.end()
 
     def on_room(self, group: _Group) -> None:
-        """Adjust the limit of a group, and start the requests that it has room for."""
+        """Adjust the limit of a group, and schedule the start of waiting requests.
+
+        They start in a call of their own, so that they neither delay nor break the
+        request whose shard has ended.
+        """
         now = self.now()
         account = group.account
         before_s = account.limit_s
         change = account.adjust(now)
         if change is not None:
             self._log_change(group, before_s, change, now)
-        if self.stopped or group.starting or not group.waiting:
+        if self.stopped or group.start_timer is not None or not group.waiting:
             return
-        group.starting = True
-        try:
-            self._start_waiting(group, now)
-        finally:
-            group.starting = False
+        if account.has_room(group.waiting.lightest_s()):
+            group.start_timer = self._call_later(
+                0.0, lambda: self._start_waiting(group)
+            )
 
-    def _start_waiting(self, group: _Group, now: float) -> None:
-        while group.waiting:
+    def _start_waiting(self, group: _Group) -> None:
+        group.start_timer = None
+        now = self.now()
+        while group.waiting and not self.stopped:
+            # The choice of the first one takes longer than this check.
+            if not group.account.has_room(group.waiting.lightest_s()):
+                return
             first = group.waiting.first(now)
             if not group.account.has_room(first.work_s):
                 return
             claim = group.claims[first]
             self._leave_queue(claim)
+            self._start_contained(claim, now)
+
+    def _start_contained(self, claim: RoomClaim, now: float) -> None:
+        """Start a request; after an unexpected error, fail it and release its room."""
+        on_failed = claim.on_refused
+        try:
             if now >= claim.request.deadline:
                 self._refuse(claim, "the deadline has passed", now)
             else:
                 self._start(claim, now)
+        except Exception as exc:
+            log_unexpected("start of a waiting request", exc)
+            claim.end()
+            # Some targets may have received it.
+            on_failed(RoutedResult(error_response(502), "unknown", 0, 0))
 
     # Groups.
 
@@ -415,7 +442,9 @@
         claim.waited_s = now - claim.arrived_at
         claim.start(now)
         claim.group.waiting.record_start(claim.load, claim.request.data_centre, now)
-        claim.on_start()
+        on_start = claim.on_start
+        claim.drop_references()
+        on_start()
 
     def _enqueue(self, claim: RoomClaim, now: float) -> None:
         """Make a request wait, unless it or a less valuable one has to be refused."""
@@ -539,7 +568,9 @@
         left_s = request.deadline - now
         after_s = retry_after_s(predicted_s, left_s, self._rng.random())
         response = error_response(503, after_s)
-        claim.on_refused(RoutedResult(response, "not run", 0, 0))
+        on_refused = claim.on_refused
+        claim.drop_references()
+        on_refused(RoutedResult(response, "not run", 0, 0))
 
     # Log and metrics.
 
--- a/filbertshelf/state/room.py
+++ b/filbertshelf/state/room.py
@@ -11,7 +11,7 @@
 import enum
 import math
 import statistics
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import attrs
 
@@ -237,9 +237,9 @@
         """The work a second that targets have done of late, 0.0 if it is unknown."""
         self.work_s = DEFAULT_WORK_S
         """The work of the average request of late."""
-        self._pending: dict[object, tuple[float, RouteLoad]] = {}
-        """The requests of which less than half of the shards have answered: when they
-        started, the first one first, and their route."""
+        self._pending: dict[RouteLoad, dict[object, float]] = {}
+        """For each route, when the requests started of which less than half of the
+        shards have answered, the first one first."""
         self._congested_windows = 0
         self._answered_at = now
         self._busy_at = now
@@ -284,11 +284,15 @@
 
     def record_start(self, key: object, load: RouteLoad, now: float) -> None:
         """Record that a request has started; `key` is any object that stands for it."""
-        self._pending[key] = (now, load)
+        self._pending.setdefault(load, {})[key] = now
 
-    def forget(self, key: object) -> None:
+    def forget(self, key: object, load: RouteLoad) -> None:
         """Record that a request waits for no more answers."""
-        self._pending.pop(key, None)
+        pending = self._pending.get(load)
+        if pending is not None:
+            pending.pop(key, None)
+            if not pending:
+                del self._pending[load]
 
     def started_of_late(self, started_at: float) -> bool:
         """Return whether a request has started since the limit was last judged."""
@@ -341,12 +345,14 @@
     def _late_ratios(self, now: float) -> list[float]:
         """Return the inflation of requests that are late and still wait for answers."""
         ratios = []
-        for started_at, load in self._pending.values():
-            if started_at >= self._window_at:
-                inflation = load.inflation(now - started_at)
-                if inflation <= 1.0:
-                    break
-                ratios.append(inflation)
+        for load, pending in self._pending.items():
+            for started_at in pending.values():
+                if started_at >= self._window_at:
+                    inflation = load.inflation(now - started_at)
+                    if inflation <= 1.0:
+                        # Later requests of the same route are not late either.
+                        break
+                    ratios.append(inflation)
         return ratios
 
     def _check_stall(self, now: float) -> None:
@@ -502,14 +508,15 @@
 
     def displaced_by(self, request: WaitingRequest, now: float) -> WaitingRequest:
         """Return the request that a full queue refuses, which may be the new one."""
-        own_rank = self._rank(request, now)
+        over_share = self._over_share(now, request.data_centre)
+        own_rank = self._rank(request, now, over_share)
         worst, worst_rank = request, own_rank
         for queue in self._by_source.values():
             for waiting in reversed(queue):
                 is_protected = now > waiting.protected_at
                 if is_protected and waiting.priority <= request.priority:
                     continue
-                rank = self._rank(waiting, now)
+                rank = self._rank(waiting, now, over_share)
                 if rank > worst_rank:
                     worst, worst_rank = waiting, rank
                 break
@@ -533,9 +540,16 @@
         self._count -= 1
         return True
 
+    def lightest_s(self) -> float:
+        """Return the work of the lightest waiting request; there must be one."""
+        return min(queue[0].work_s for queue in self._by_source.values())
+
     def first(self, now: float) -> WaitingRequest:
         """Return the request that starts next; there must be one."""
-        return min(self._heads(now), key=lambda request: self._rank(request, now))
+        over_share = self._over_share(now)
+        return min(
+            self._heads(now), key=lambda request: self._rank(request, now, over_share)
+        )
 
     def _heads(self, now: float) -> Iterator[WaitingRequest]:
         """Yield the candidates of each route and data centre.
@@ -554,11 +568,12 @@
 
     def work_ahead_s(self, request: WaitingRequest, now: float) -> float:
         """Return the work of the waiting requests that start before this one."""
-        rank = self._rank(request, now)
+        # The shares of data centres don't count in the compared part of the rank.
+        rank = self._rank(request, now, frozenset())
         ahead_s = 0.0
         for queue in self._by_source.values():
             count = bisect.bisect_left(queue, request.objective_at, key=_objective_at)
-            head_rank = self._rank(queue[0], now)
+            head_rank = self._rank(queue[0], now, frozenset())
             if head_rank[:3] < rank[:3]:
                 count = len(queue)
             elif head_rank[:3] > rank[:3]:
@@ -566,12 +581,14 @@
             ahead_s += count * queue[0].work_s
         return ahead_s
 
-    def _rank(self, request: WaitingRequest, now: float) -> Rank:
+    def _rank(
+        self, request: WaitingRequest, now: float, over_share: Collection[str]
+    ) -> Rank:
         return (
             not self._is_underserved(request.load, now),
             request.priority,
             not request.meets_objective(now),
-            self._exceeds_share(request.data_centre, now),
+            request.data_centre in over_share,
             request.objective_at,
             request.work_s,
         )
@@ -580,20 +597,21 @@
         fair = FAIR_RATIO * self._ran.value(now) * load.offered.value(now)
         return load.ran.value(now) * self._offered.value(now) < fair
 
-    def _exceeds_share(self, data_centre: str, now: float) -> bool:
-        """Return whether more than a fair share was started for a data centre.
+    def _over_share(self, now: float, *also: str) -> Collection[str]:
+        """Return the data centres for which more than a fair share was started.
 
-        Only the data centres of waiting requests have a share.
+        Only the data centres of waiting requests and those in `also` have a share.
         """
-        waiting = {source[1] for source in self._by_source} | {data_centre}
+        waiting = {data_centre for _, data_centre in self._by_source}.union(also)
         if len(waiting) < 2:
-            return False
+            return frozenset()
         started = {
             name: count.value(now)
             for name, count in self._started_s.items()
             if name in waiting
         }
-        return started.get(data_centre, 0.0) * len(waiting) > sum(started.values())
+        fair_s = sum(started.values()) / len(waiting)
+        return {name for name, started_s in started.items() if started_s > fair_s}
 
 
 def _objective_at(request: WaitingRequest) -> float:
--- a/test/coordination/simulated_gateway.py
+++ b/test/coordination/simulated_gateway.py
@@ -106,12 +106,13 @@
 class VirtualTimer:
     """A scheduled call."""
 
-    func: Callable[[], None]
+    func: Callable[[], None] | None
     cancelled: bool = False
 
     def cancel(self) -> None:
-        """Cancel the call."""
+        """Cancel the call, and drop its function as the timers of asyncio do."""
         self.cancelled = True
+        self.func = None
 
 
 @attrs.define(eq=False)
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -269,13 +269,28 @@
 
 async def test_finished_requests_are_freed_without_the_garbage_collector(deployment):
     # Guards against reference cycles: they held thousands of finished shard calls,
-    # 20 MB, because the collector runs rarely.
+    # 20 MB, because the collector runs rarely. The extra routes share services with
+    # routes of another priority, so that admission is controlled.
+    common = {"host": "h", "timeoutMs": 900, "priority": 1}
+    shards = ["shard-0", "shard-1"]
+    deployment.publish(
+        2,
+        routes=[
+            {**common, "name": "low", "prefix": "/low/", "kind": "safe"}
+            | {"gather": shards, "topK": 5, "minCoverage": 0.5},
+            {**common, "name": "late", "prefix": "/late/", "kind": "unsafe"}
+            | {"service": "shard-0"},
+        ],
+    )
+    gateway = deployment.gateways[0]
+    await wait_until(lambda: gateway.feed.table.version == 2)
     gc.collect()
     gc.disable()
     try:
-        for path in ("/all/x", "/one/x", "/book/x"):
+        for path in ("/all/x", "/one/x", "/book/x", "/low/x", "/late/x"):
             assert (await deployment.send_request(path))[0] == 200
-        classes = (Gather, Forward, ShardCall, Exchange, RequestRun)
+        assert gateway.router.room.groups()
+        classes = (Gather, Forward, ShardCall, Exchange, RequestRun, RoutedRequest)
         held = [
             item
             for item in gc.get_objects()
--- a/test/coordination/test_room.py
+++ b/test/coordination/test_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import itertools
 import math
 import random
@@ -11,7 +12,12 @@
 
 from filbertshelf import events
 from filbertshelf.coordination.delegation import Delegation
+from filbertshelf.coordination.gather import Gather
+from filbertshelf.coordination.request_run import RequestRun
+from filbertshelf.coordination.room import RoomClaim
+from filbertshelf.coordination.routed_request import RoutedRequest
 from filbertshelf.coordination.router import Router
+from filbertshelf.coordination.shard_call import ShardCall
 from filbertshelf.gateway_metrics import GatewayMetrics
 from filbertshelf.protocol.delegation import DelegationRequest
 from filbertshelf.protocol.http_messages import Response
@@ -427,3 +433,92 @@
     gateway.time.run_until(0.5)
     assert waiting.refused
     assert waiting.elapsed_s <= 0.25 * 0.1
+
+
+@pytest.mark.parametrize("end", ["answered", "refused", "disconnected"])
+def test_a_request_with_room_is_freed_without_the_garbage_collector(end):
+    """Guards against finished requests that are held until the collector runs."""
+    gateway = RoomGateway()
+    gc.collect()
+    gc.disable()
+    try:
+        gateway.fill()
+        waiting = gateway.send(gateway.routes[1])
+        if end == "refused":
+            gateway.router.close()
+        elif end == "disconnected":
+            # The server drops the callback with the connection.
+            on_disconnect, waiting.request.on_disconnect = (
+                waiting.request.on_disconnect,
+                None,
+            )
+            on_disconnect()
+            del on_disconnect
+        gateway.time.run_until(3.0)
+        for pool in gateway.simulation.pools.values():
+            pool.reset()
+        assert waiting.status == {"answered": 200, "refused": 503}.get(end, 0)
+        classes = (RequestRun, RoutedRequest, RoomClaim, Gather, ShardCall)
+        assert [item for item in gc.get_objects() if isinstance(item, classes)] == []
+    finally:
+        gc.enable()
+
+
+def test_an_error_in_a_start_harms_only_the_request_that_starts(monkeypatch):
+    """Guards against a running query that loses a shard because another can't start."""
+    gateway = RoomGateway()
+    first = gateway.fill()
+    # A route that was not served goes first.
+    failing = gateway.send(gateway.routes[1])
+    later = gateway.send(gateway.routes[0])
+    start = RoomClaim.start
+
+    def fail_once(claim, now):
+        start(claim, now)
+        monkeypatch.undo()
+        raise RuntimeError("a fault of the program")
+
+    monkeypatch.setattr(RoomClaim, "start", fail_once)
+    gateway.time.run_until(2.0)
+    assert first.status == later.status == 200
+    assert first.response.fields[-1][1] == b"0"
+    assert failing.status == 502
+    [group] = gateway.router.room.groups()
+    assert group.account.running_s == 0.0
+
+
+def test_waiting_requests_start_after_the_callback_that_made_room():
+    """Guards against an answer that is delayed by the starts of other requests."""
+    gateway = RoomGateway()
+    gateway.fill()
+    gateway.send(gateway.routes[1])
+    [group] = gateway.router.room.groups()
+    group.account.limit_s = math.inf
+    gateway.router.room.on_room(group)
+    gateway.router.room.on_room(group)
+    assert gateway.waiting == 1
+    gateway.time.run_until(gateway.time.monotonic())
+    assert gateway.waiting == 0
+
+
+def test_waiting_requests_are_not_ranked_while_there_is_no_room(monkeypatch):
+    """Guards against a cost of each answer that grows with routes and data centres."""
+    gateway = RoomGateway()
+    gateway.fill()
+    gateway.send(gateway.routes[1])
+    [group] = gateway.router.room.groups()
+    ranked = []
+    first = type(group.waiting).first
+
+    def record(waiting, now):
+        ranked.append(now)
+        return first(waiting, now)
+
+    monkeypatch.setattr(type(group.waiting), "first", record)
+    gateway.router.room.on_room(group)
+    gateway.time.run_until(gateway.time.monotonic())
+    assert not ranked
+    group.account.limit_s = math.inf
+    gateway.router.room.on_room(group)
+    gateway.time.run_until(gateway.time.monotonic())
+    assert len(ranked) == 1
--- a/test/state/test_room.py
+++ b/test/state/test_room.py
@@ -12,6 +12,7 @@
     MIN_SAMPLES,
     MIN_WINDOW_S,
     AnswerPace,
+    DecayingCount,
     RoomAccount,
     RoomChange,
     RouteLoad,
@@ -178,6 +179,24 @@
     assert load.inflation(0.1) > 1.0
 
 
+def test_late_requests_count_beside_an_early_one_of_a_slow_route():
+    # Guards against an overload that is noticed only once late answers arrive.
+    clock = ManualClock()
+    slow, fast = RouteLoad(clock, AnswerPace()), RouteLoad(clock, AnswerPace())
+    slow.objective_s, fast.objective_s = 10.0, OBJECTIVE_S
+    account = RoomAccount(0.0)
+    account.add(1.0, 0.0)
+    changes = []
+    for started_at in (0.0, 0.15):
+        account.record_start(f"slow at {started_at}", slow, started_at)
+        for n in range(MIN_SAMPLES):
+            account.record_start(f"{n} at {started_at}", fast, started_at)
+        for n in range(1, 15):
+            account.record_done(WORK_S, 1.0, started_at + 0.01 * n)
+        changes.append(account.adjust(started_at + 0.15))
+    assert changes == [None, RoomChange.LATENCY]
+
+
 def test_the_order_is_priority_then_objective(queue):
     # Guards against an order by arrival alone.
     for priority in range(3):
@@ -229,6 +248,25 @@
     assert abs(started["a"] - started["b"]) <= 2
 
 
+def test_the_shares_of_data_centres_are_computed_once_for_a_choice(queue, monkeypatch):
+    # Guards against a choice whose cost is quadratic in routes and data centres.
+    for priority in range(3):
+        for data_centre in "abc":
+            queue.add(priority, 0.0, data_centre)
+            queue.waiting.record_start(queue.load(priority), data_centre, 0.0)
+    counted = []
+    value = DecayingCount.value
+
+    def record(count, now):
+        counted.append(count)
+        return value(count, now)
+
+    monkeypatch.setattr(DecayingCount, "value", record)
+    queue.waiting.first(0.0)
+    started = queue.waiting._started_s.values()
+    assert all(counted.count(count) == 1 for count in started)
+
+
 def test_a_full_queue_refuses_the_least_valuable_request(queue):
     # Guards against a queue of unimportant requests that keeps out important ones.
     for priority in range(3):
