--- a/filbertshelf/coordination/listed_targets.py
+++ b/filbertshelf/coordination/listed_targets.py
@@ -349,12 +349,20 @@
         return instance_count
 
     def slots_share(self, services: Collection[str]) -> float:
-        """Return this instance's share of the slots that most of the services list."""
+        """Return this instance's share of the usable slots of the median service.
+
+        Targets that get no requests now have no usable slots.
+        """
+        now = self._clock.monotonic()
         slots = []
         for name in services:
             service = self._service_targets(name)
-            listed = sum(entry.listed.slots for entry in service.entries.values())
-            slots.append(listed / self._instances_for(service))
+            usable = sum(
+                entry.listed.slots
+                for entry in service.entries.values()
+                if not entry.is_withheld(now)
+            )
+            slots.append(usable / self._instances_for(service))
         return statistics.median(slots)
 
     def _instances_for(self, service: ServiceTargets) -> int:
--- a/filbertshelf/coordination/request_run.py
+++ b/filbertshelf/coordination/request_run.py
@@ -7,10 +7,7 @@
 
 import attrs
 
-from filbertshelf.coordination.call_results import (
-    BUSY_RETRY_AFTER_S,
-    NO_TARGET_RETRY_AFTER_S,
-)
+from filbertshelf.coordination.call_results import NO_TARGET_RETRY_AFTER_S
 from filbertshelf.coordination.delegated_request import DelegatedRequest
 from filbertshelf.coordination.delegation import Delegation, max_targets_of_sender
 from filbertshelf.coordination.room import RoomControl
@@ -118,7 +115,7 @@
         """End the request if its deadline passed while the process was paused."""
         now = self._context.clock.monotonic()
         if self._waiting and now >= self._request.deadline:
-            self._stop_waiting()
+            self._room.refuse(self._request, "the deadline has passed")
         runner = self._local or self._delegated
         if runner is not None:
             runner.on_resume()
@@ -137,7 +134,7 @@
         self._stopping = True
         runner = self._local or self._delegated
         if self._waiting:
-            self._stop_waiting()
+            self._room.refuse(self._request, "the instance stops")
         elif self._failed_result is not None:
             self._finish(self._failed_result)
         elif runner is not None:
@@ -159,12 +156,6 @@
         if self._room is not None:
             self._room.release(self._request)
 
-    def _stop_waiting(self) -> None:
-        """Refuse the request, which waits and has not run."""
-        self._release_room()
-        refusal = error_response(503, BUSY_RETRY_AFTER_S)
-        self._on_refused(RoutedResult(refusal, "not run", 0, 0))
-
     def _on_refused(self, result: RoutedResult) -> None:
         self._waiting = False
         self._finish(result)
--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -80,7 +80,6 @@
     start_timer: Timer | None = None
     minimum_at: float = -math.inf
     logged_at: float = -math.inf
-    logged_limit_s: float = math.inf
 
 
 class RoomClaim:
@@ -104,6 +103,7 @@
         "arrived_at",
         "group",
         "load",
+        "objective_s",
         "on_refused",
         "on_start",
         "request",
@@ -131,6 +131,11 @@
         self.on_refused: Callable[[RoutedResult], None] | None = on_refused
         self._objective_at = request.objective_at
         self.answer_by = min(request.objective_at, request.deadline)
+        received_at = request.http_request.received_at
+        self.objective_s = min(
+            request.route.latency_objective_s, request.deadline - received_at
+        )
+        """The latency objective, or the time until the deadline if that is shorter."""
         self.arrived_at = now
         self.started_at = math.inf
         self.waited_s = 0.0
@@ -333,6 +338,13 @@
             self._leave_queue(claim)
             claim.end()
 
+    def refuse(self, request: RoutedRequest, reason: str) -> None:
+        """Refuse a request that waits."""
+        claim, now = request.room, self.now()
+        predicted_s = self._predicted_wait_s(claim, now)
+        self._leave_queue(claim)
+        self._refuse(claim, reason, now, predicted_s)
+
     def on_room(self, group: _Group) -> None:
         """Adjust the limit of a group, and schedule the start of waiting requests.
 
@@ -388,7 +400,9 @@
         if not self._contested:
             return None
         route = request.route
-        if route.name in self._group_by_route:
+        # A request may still use the routes of an older table.
+        is_current = request.table is self._table
+        if is_current and route.name in self._group_by_route:
             return self._group_by_route[route.name]
         services = route.services()
         if route.gather is None and len(services) > 1:
@@ -396,7 +410,9 @@
                 return None
             request.service = self._choose_service(request)
             return self._group_named((request.service,))
-        group = self._group_by_route[route.name] = self._group_named(services)
+        group = self._group_named(services)
+        if is_current:
+            self._group_by_route[route.name] = group
         return group
 
     def _group_named(self, services: tuple[str, ...]) -> _Group | None:
@@ -448,58 +464,56 @@
 
     def _enqueue(self, claim: RoomClaim, now: float) -> None:
         """Make a request wait, unless it or a less valuable one has to be refused."""
-        group, request = claim.group, claim.request
-        received_at = request.http_request.received_at
-        objective_s = min(
-            request.route.latency_objective_s, request.deadline - received_at
-        )
-        entry = WaitingRequest(
-            request.text_id,
+        group = claim.group
+        entry = claim.waiting = self._make_entry(claim)
+        predicted_s = self._predicted_wait_s(claim, now)
+        if now + predicted_s + claim.load.typical_s > claim.request.deadline:
+            reason = "no time is left"
+        elif not self._free_a_place(claim, now):
+            reason = "the queue is full"
+        else:
+            group.waiting.add(entry)
+            group.claims[entry] = claim
+            self._set_decision_timer(claim, now)
+            self._log_wait(claim, predicted_s, now)
+            return
+        claim.waiting = None
+        self._refuse(claim, reason, now, predicted_s)
+
+    def _make_entry(self, claim: RoomClaim) -> WaitingRequest:
+        request = claim.request
+        return WaitingRequest(
             request.route.name,
             request.data_centre,
             request.route.priority,
             claim.answer_by,
-            request.deadline,
-            received_at + WAIT_SHARE * objective_s,
+            request.http_request.received_at + WAIT_SHARE * claim.objective_s,
             claim.load,
-            now,
         )
-        claim.waiting = entry
-        predicted_s = self._predicted_wait_s(claim, now)
-        if now + predicted_s + claim.load.typical_s > request.deadline:
-            claim.waiting = None
-            self._refuse(claim, "no time is left", now, predicted_s)
-            return
-        if len(group.waiting) >= MAX_WAITING:
-            displaced = group.waiting.displaced_by(entry, now)
-            if displaced is entry:
-                claim.waiting = None
-                self._refuse(claim, "the queue is full", now, predicted_s)
-                return
-            displaced_claim = group.claims[displaced]
-            wait_s = self._predicted_wait_s(displaced_claim, now)
-            self._leave_queue(displaced_claim)
-            self._refuse(displaced_claim, "displaced", now, wait_s, request)
-        group.waiting.add(entry)
-        group.claims[entry] = claim
-        decide_at = received_at + max(
-            MIN_WAIT_SHARE * objective_s,
-            WAIT_SHARE * objective_s - request.return_margin_s,
+
+    def _free_a_place(self, claim: RoomClaim, now: float) -> bool:
+        """Refuse another request if the queue is full; return False if none can be."""
+        group = claim.group
+        if len(group.waiting) < MAX_WAITING:
+            return True
+        displaced = group.waiting.displaced_by(claim.waiting, now)
+        if displaced is claim.waiting:
+            return False
+        displaced_claim = group.claims[displaced]
+        wait_s = self._predicted_wait_s(displaced_claim, now)
+        self._leave_queue(displaced_claim)
+        self._refuse(displaced_claim, "displaced", now, wait_s, claim.request)
+        return True
+
+    def _set_decision_timer(self, claim: RoomClaim, now: float) -> None:
+        request = claim.request
+        decide_at = request.http_request.received_at + max(
+            MIN_WAIT_SHARE * claim.objective_s,
+            WAIT_SHARE * claim.objective_s - request.return_margin_s,
         )
         claim.timer = self._call_later(
             max(0.0, decide_at - now), lambda: self._refuse_if_late(claim)
         )
-        if request.log_limit.allows(now):
-            events.emit(
-                events.REQUEST_WAITS,
-                request_id=request.text_id,
-                route=request.route.name,
-                group=group.name,
-                priority=request.route.priority,
-                work_ms=_ms(claim.load.work_s),
-                predicted_ms=_ms(predicted_s),
-                waiting=len(group.waiting),
-            )
 
     def _refuse_if_late(self, claim: RoomClaim) -> None:
         """Refuse a waiting request unless an answer in time is predicted.
@@ -574,6 +588,20 @@
 
     # Log and metrics.
 
+    def _log_wait(self, claim: RoomClaim, predicted_s: float, now: float) -> None:
+        request = claim.request
+        if request.log_limit.allows(now):
+            events.emit(
+                events.REQUEST_WAITS,
+                request_id=request.text_id,
+                route=request.route.name,
+                group=claim.group.name,
+                priority=request.route.priority,
+                work_ms=_ms(claim.load.work_s),
+                predicted_ms=_ms(predicted_s),
+                waiting=len(claim.group.waiting),
+            )
+
     def _log_change(
         self, group: _Group, before_s: float, change: RoomChange, now: float
     ) -> None:
--- a/filbertshelf/coordination/shard_call.py
+++ b/filbertshelf/coordination/shard_call.py
@@ -17,6 +17,7 @@
 from filbertshelf.protocol.target_responses import Classification
 from filbertshelf.state.hedging import is_worthwhile
 from filbertshelf.state.outcome import OVERLOAD_REASONS, Reason, Result
+from filbertshelf.state.room import HONOURED_SHARE
 from filbertshelf.state.routing import Repeat
 from filbertshelf.transport.http1.connection import HttpConnection
 from filbertshelf.transport.http1.exchange import (
@@ -34,9 +35,6 @@
 MIN_TIME_LEFT_S = 0.01
 """Minimum time left to start an attempt; with less, no target can answer in time."""
 
-HONOURED_SHARE = 1 / 3
-"""The share of their remaining time that callers wait before they come back."""
-
 MAX_IDLE_BEFORE_ONCE_S = 0.25
 """How long a connection may have been idle before it carries a request that must run
 only once. If its other end is gone, such a request ends without an answer; a new
--- a/filbertshelf/state/room.py
+++ b/filbertshelf/state/room.py
@@ -23,8 +23,11 @@
 """The assumed work of a route before its first answer."""
 
 MIN_WINDOW_S = 0.05
+"""The shortest time between two judgements, so that some requests that started after
+the last one have answers."""
+
 MIN_SAMPLES = 10
-"""The shortest time and the fewest latencies from which congestion is judged."""
+"""The fewest requests of a judgement, whose median a few slow ones must not decide."""
 
 MIN_OBJECTIVE_SHARE = 0.12
 """A latency below this share of the objective does no harm, however it compares with
@@ -60,8 +63,10 @@
 being taken for overload."""
 
 DECREASE_FACTOR = 0.85
+"""The factor of the smallest decrease of the limit after a congested window."""
+
 MAX_DECREASE_FACTOR = 0.5
-"""The factors of one decrease of the limit, at most one in each round trip."""
+"""The factor of the largest decrease, since one window may count too little work."""
 
 INCREASE_SHARE = 0.15
 MIN_INCREASE = 0.04
@@ -73,7 +78,7 @@
 
 FAIR_RATIO = 0.4
 """A route whose ratio of started to offered requests is below this share of the ratio
-of all routes goes first. The least share that is promised is a quarter."""
+of all routes goes first; the promised least share is a quarter, and this has a margin."""
 
 OVERLOAD_RATIO = 0.8
 """If a lower ratio of the requests was not refused, one that has waited for long will
@@ -86,7 +91,13 @@
 """The assumed time until a query is answered, as a multiple of its work."""
 
 MIN_RETRY_AFTER_S = 0.1
+"""The shortest time that a refused caller is asked to wait if it has enough time; one
+that came back sooner would probably find the same queue."""
+
 MAX_RETRY_SPREAD = 0.5
+"""The highest random extension of the wait, as a share of it, so that refused callers
+don't come back together."""
+
 HONOURED_SHARE = 1 / 3
 """The share of their remaining time that callers wait before they come back."""
 
@@ -412,16 +423,14 @@
 class WaitingRequest:
     """A request that waits until its group has room."""
 
-    request_id: str
     route: str
     data_centre: str
     priority: int
     objective_at: float
-    deadline: float
+    """Until when an answer is within the objective and the caller's deadline."""
     protected_at: float
     """From then on no newer request of the same priority displaces it."""
     load: RouteLoad
-    arrived_at: float
 
     @property
     def work_s(self) -> float:
--- a/test/coordination/test_listed_targets.py
+++ b/test/coordination/test_listed_targets.py
@@ -83,3 +83,12 @@
     assert simulation.targets.data_centres_near_shards(table) == {HERE, ELSEWHERE}
     simulation.targets.remove("t1", "lost")
     assert HERE in simulation.targets.data_centres_near_shards(table)
+
+
+def test_slots_of_targets_that_get_no_requests_do_not_count():
+    # Guards against a lowest limit above what the remaining targets can do.
+    simulation = Simulation()
+    shards = simulation.add_shards(3, slots=2)
+    assert simulation.targets.slots_share(shards) == 4
+    simulation.targets.set_evacuated(frozenset((ELSEWHERE,)))
+    assert simulation.targets.slots_share(shards) == 2
--- a/test/coordination/test_room.py
+++ b/test/coordination/test_room.py
@@ -362,6 +362,7 @@
         gateway.time.pause(0.5)
         gateway.router.on_resume()
     assert waiting.status == 503
+    assert gateway.refusals == 1
     gateway.time.run_until(2.0)
     assert waiting.id not in gateway.ids_at_targets()
 
@@ -522,3 +523,36 @@
     gateway.router.room.on_room(group)
     gateway.time.run_until(gateway.time.monotonic())
     assert len(ranked) == 1
+
+
+def test_a_request_of_an_older_table_is_in_the_group_of_its_own_services():
+    """Guards against a query that counts towards the limit of other services."""
+    gateway = RoomGateway()
+    old = gateway.feed.table
+    fewer = [
+        gather_route(
+            gateway.shards[:6],
+            name=f"q{n}",
+            prefix=f"/q{n}/",
+            priority=n,
+            timeout_s=9.0,
+        )
+        for n in range(3)
+    ]
+    new = RouteTable.build(2, fewer, [], Limits())
+    sizes = []
+    for table in (new, old, new):
+        gateway.feed.table = table
+        gateway.send(gateway.routes[1])
+        sizes.append(
+            [
+                (len(group.services), group.account.running_s > 0)
+                for group in gateway.router.room.groups()
+            ]
+        )
+        gateway.time.run_until(gateway.time.monotonic() + 1.0)
+    assert sizes == [
+        [(6, True)],
+        [(6, False), (12, True)],
+        [(6, True), (12, False)],
+    ]
--- a/test/state/test_room.py
+++ b/test/state/test_room.py
@@ -59,15 +59,12 @@
     def make(self, priority: int, at: float, data_centre: str = "") -> WaitingRequest:
         """Return a request that arrives at a time."""
         return WaitingRequest(
-            f"{priority} at {at}",
             f"r{priority}",
             data_centre,
             priority,
             at + OBJECTIVE_S,
-            at + 0.8,
             at + 0.25 * OBJECTIVE_S,
             self.load(priority),
-            at,
         )
 
     def add(
