--- a/filbertshelf/state/room.py
+++ b/filbertshelf/state/room.py
@@ -78,7 +78,7 @@
 
 FAIR_RATIO = 0.4
 """A route whose ratio of started to offered requests is below this share of the ratio
-of all routes goes first; the promised least share is a quarter, and this has a margin."""
+of all routes goes first; it is above the quarter that is promised, as a margin."""
 
 OVERLOAD_RATIO = 0.8
 """If a lower ratio of the requests was not refused, one that has waited for long will
