--- a/filbertshelf/coordination/room.py
+++ b/filbertshelf/coordination/room.py
@@ -34,10 +34,11 @@
     retry_after_s,
 )
 from filbertshelf.state.routing import RouteTable
+from filbertshelf.supervision import log_unexpected
 
 WAIT_SHARE = 0.25
 """The share of its latency objective within which a request is refused if it can't be
-answered within the objective."""
+answered within the objective. A shorter deadline takes the place of the objective."""
 
 MIN_WAIT_SHARE = 0.1
 """The least share of its objective that a request may wait, even if the answer needs
@@ -76,10 +77,9 @@
     account: RoomAccount
     waiting: WaitingRequests = attrs.field(factory=WaitingRequests)
     claims: dict[WaitingRequest, RoomClaim] = attrs.field(factory=dict)
-    starting: bool = False
+    start_timer: Timer | None = None
     minimum_at: float = -math.inf
     logged_at: float = -math.inf
-    logged_limit_s: float = math.inf
 
 
 class RoomClaim:
@@ -94,13 +94,16 @@
         "_failed",
         "_half_recorded",
         "_held_s",
+        "_objective_at",
         "_rule",
         "_share_s",
         "_short",
         "_work_s",
+        "answer_by",
         "arrived_at",
         "group",
         "load",
+        "objective_s",
         "on_refused",
         "on_start",
         "request",
@@ -122,10 +125,17 @@
     ):
         self._control = control
         self.group = group
-        self.request = request
         self.load = load
-        self.on_start = on_start
-        self.on_refused = on_refused
+        self.request: RoutedRequest | None = request
+        self.on_start: Callable[[], None] | None = on_start
+        self.on_refused: Callable[[RoutedResult], None] | None = on_refused
+        self._objective_at = request.objective_at
+        self.answer_by = min(request.objective_at, request.deadline)
+        received_at = request.http_request.received_at
+        self.objective_s = min(
+            request.route.latency_objective_s, request.deadline - received_at
+        )
+        """The latency objective, or the time until the deadline if that is shorter."""
         self.arrived_at = now
         self.started_at = math.inf
         self.waited_s = 0.0
@@ -155,16 +165,24 @@
         self.group.account.add(self._work_s, now)
         self.group.account.record_start(self, self.load, now)
 
+    def drop_references(self) -> None:
+        """Drop what would keep the request and this claim in a reference cycle.
+
+        Late answers of targets still need the claim.
+        """
+        self.request = self.on_start = self.on_refused = None
+
     def end(self) -> None:
         """Give back what the request still holds."""
         if self._ended:
             return
         self._ended = True
+        self.drop_references()
         if self.started_at == math.inf:
             return
         account = self.group.account
         account.remove(self._held_s)
-        account.forget(self)
+        account.forget(self, self.load)
         if self._asked > 0:
             is_short = self._is_short()
             account.record_end(self.started_at, is_short or self._is_late())
@@ -186,7 +204,7 @@
 
     def _is_late(self) -> bool:
         """Return whether load has made the answer late."""
-        late = self._control.now() > self.request.objective_at + TIMER_TOLERANCE_S
+        late = self._control.now() > self._objective_at + TIMER_TOLERANCE_S
         return late and self._factor > LATE_INFLATION_FACTOR
 
     # Reports of the request's calls.
@@ -238,7 +256,7 @@
         now = self._control.now()
         seconds = now - self.started_at
         account = self.group.account
-        account.forget(self)
+        account.forget(self, self.load)
         self._factor = seconds / self._work_s
         inflation = self.load.inflation(seconds)
         account.record_latency(self.started_at, inflation)
@@ -320,33 +338,59 @@
             self._leave_queue(claim)
             claim.end()
 
+    def refuse(self, request: RoutedRequest, reason: str) -> None:
+        """Refuse a request that waits."""
+        claim, now = request.room, self.now()
+        predicted_s = predicted_wait_s(claim.group, claim.waiting, now)
+        self._leave_queue(claim)
+        self._refuse(claim, reason, now, predicted_s)
+
     def on_room(self, group: Group) -> None:
-        """Adjust the limit of a group, and start the requests that it has room for."""
+        """Adjust the limit of a group, and schedule the start of waiting requests.
+
+        They start in a call of their own, so that they neither delay nor break the
+        request whose shard has ended.
+        """
         now = self.now()
         account = group.account
         before_s = account.limit_s
         change = account.adjust(now)
         if change is not None:
             self._log_change(group, before_s, change, now)
-        if self.stopped or group.starting or not group.waiting:
+        if self.stopped or group.start_timer is not None or not group.waiting:
             return
-        group.starting = True
-        try:
-            self._start_waiting(group, now)
-        finally:
-            group.starting = False
+        if account.has_room(group.waiting.lightest_s()):
+            group.start_timer = self._call_later(
+                0.0, lambda: self._start_waiting(group)
+            )
 
-    def _start_waiting(self, group: Group, now: float) -> None:
-        while group.waiting:
+    def _start_waiting(self, group: Group) -> None:
+        group.start_timer = None
+        now = self.now()
+        while group.waiting and not self.stopped:
+            # The choice of the first one takes longer than this check.
+            if not group.account.has_room(group.waiting.lightest_s()):
+                return
             first = group.waiting.first(now)
             if not group.account.has_room(first.work_s):
                 return
             claim = group.claims[first]
             self._leave_queue(claim)
+            self._start_contained(claim, now)
+
+    def _start_contained(self, claim: RoomClaim, now: float) -> None:
+        """Start a request; after an unexpected error, fail it and release its room."""
+        on_failed = claim.on_refused
+        try:
             if now >= claim.request.deadline:
                 self._refuse(claim, "the deadline has passed", now)
             else:
                 self._start(claim, now)
+        except Exception as exc:
+            log_unexpected("start of a waiting request", exc)
+            claim.end()
+            # Some targets may have received it.
+            on_failed(RoutedResult(error_response(502), "unknown", 0, 0))
 
     # Groups.
 
@@ -356,7 +400,9 @@
         if not self._contested:
             return None
         route = request.route
-        if route.name in self._group_by_route:
+        # A request may still use the routes of an older table.
+        is_current = request.table is self._table
+        if is_current and route.name in self._group_by_route:
             return self._group_by_route[route.name]
         services = route.services()
         if route.gather is None and len(services) > 1:
@@ -364,7 +410,9 @@
                 return None
             request.service = self._choose_service(request)
             return self._group_named((request.service,))
-        group = self._group_by_route[route.name] = self._group_named(services)
+        group = self._group_named(services)
+        if is_current:
+            self._group_by_route[route.name] = group
         return group
 
     def _group_named(self, services: tuple[str, ...]) -> Group | None:
@@ -410,57 +458,61 @@
         claim.waited_s = now - claim.arrived_at
         claim.start(now)
         claim.group.waiting.record_start(claim.load, claim.request.data_centre, now)
-        claim.on_start()
+        on_start = claim.on_start
+        claim.drop_references()
+        on_start()
 
     def _enqueue(self, claim: RoomClaim, now: float) -> None:
         """Make a request wait, unless it or a less valuable one has to be refused."""
-        group, request = claim.group, claim.request
-        objective_s = request.route.latency_objective_s
-        received_at = request.http_request.received_at
-        entry = WaitingRequest(
-            request.text_id,
+        group = claim.group
+        entry = claim.waiting = self._make_entry(claim)
+        predicted_s = predicted_wait_s(claim.group, claim.waiting, now)
+        if now + predicted_s + claim.load.typical_s > claim.request.deadline:
+            reason = "no time is left"
+        elif not self._free_a_place(claim, now):
+            reason = "the queue is full"
+        else:
+            group.waiting.add(entry)
+            group.claims[entry] = claim
+            self._set_decision_timer(claim, now)
+            self._log_wait(claim, predicted_s, now)
+            return
+        claim.waiting = None
+        self._refuse(claim, reason, now, predicted_s)
+
+    def _make_entry(self, claim: RoomClaim) -> WaitingRequest:
+        request = claim.request
+        return WaitingRequest(
             request.route.name,
             request.data_centre,
             request.route.priority,
-            request.objective_at,
-            request.deadline,
-            received_at + WAIT_SHARE * objective_s,
+            claim.answer_by,
+            request.http_request.received_at + WAIT_SHARE * claim.objective_s,
             claim.load,
-            now,
         )
-        claim.waiting = entry
-        predicted_s = predicted_wait_s(group, entry, now)
-        if now + predicted_s + claim.load.typical_s > request.deadline:
-            claim.waiting = None
-            self._refuse(claim, "no time is left", now, predicted_s)
-            return
-        if len(group.waiting) >= MAX_WAITING:
-            displaced = group.waiting.displaced_by(entry, now)
-            if displaced is entry:
-                claim.waiting = None
-                self._refuse(claim, "the queue is full", now, predicted_s)
-                return
-            displaced_claim = group.claims[displaced]
-            wait_s = predicted_wait_s(group, displaced, now)
-            self._leave_queue(displaced_claim)
-            self._refuse(displaced_claim, "displaced", now, wait_s, request)
-        group.waiting.add(entry)
-        group.claims[entry] = claim
-        decide_at = received_at + decision_delay_s(objective_s, request.return_margin_s)
+
+    def _free_a_place(self, claim: RoomClaim, now: float) -> bool:
+        """Refuse another request if the queue is full; return False if none can be."""
+        group = claim.group
+        if len(group.waiting) < MAX_WAITING:
+            return True
+        displaced = group.waiting.displaced_by(claim.waiting, now)
+        if displaced is claim.waiting:
+            return False
+        displaced_claim = group.claims[displaced]
+        wait_s = predicted_wait_s(group, displaced, now)
+        self._leave_queue(displaced_claim)
+        self._refuse(displaced_claim, "displaced", now, wait_s, claim.request)
+        return True
+
+    def _set_decision_timer(self, claim: RoomClaim, now: float) -> None:
+        request = claim.request
+        decide_at = request.http_request.received_at + decision_delay_s(
+            claim.objective_s, request.return_margin_s
+        )
         claim.timer = self._call_later(
             max(0.0, decide_at - now), lambda: self._refuse_if_late(claim)
         )
-        if request.log_limit.allows(now):
-            events.emit(
-                events.REQUEST_WAITS,
-                request_id=request.text_id,
-                route=request.route.name,
-                group=group.name,
-                priority=request.route.priority,
-                work_ms=_ms(claim.load.work_s),
-                predicted_ms=_ms(predicted_s),
-                waiting=len(group.waiting),
-            )
 
     def _refuse_if_late(self, claim: RoomClaim) -> None:
         """Refuse a waiting request unless an answer in time is predicted.
@@ -471,11 +523,11 @@
         now = self.now()
         predicted_s = predicted_wait_s(claim.group, claim.waiting, now)
         needed_s = PREDICTION_MARGIN * predicted_s + claim.load.typical_s
-        is_late = now + needed_s > claim.request.objective_at
+        is_late = now + needed_s > claim.answer_by
         if is_late or claim.group.waiting.is_overloaded(now):
             self._refuse_late(claim, predicted_s)
             return
-        latest_start_s = claim.request.objective_at - claim.load.typical_s - now
+        latest_start_s = claim.answer_by - claim.load.typical_s - now
         claim.timer = self._call_later(
             latest_start_s, lambda: self._refuse_late(claim, predicted_s)
         )
@@ -520,10 +572,26 @@
         left_s = request.deadline - now
         after_s = retry_after_s(predicted_s, left_s, self._rng.random())
         response = error_response(503, after_s)
-        claim.on_refused(RoutedResult(response, "not run", 0, 0))
+        on_refused = claim.on_refused
+        claim.drop_references()
+        on_refused(RoutedResult(response, "not run", 0, 0))
 
     # Log and metrics.
 
+    def _log_wait(self, claim: RoomClaim, predicted_s: float, now: float) -> None:
+        request = claim.request
+        if request.log_limit.allows(now):
+            events.emit(
+                events.REQUEST_WAITS,
+                request_id=request.text_id,
+                route=request.route.name,
+                group=claim.group.name,
+                priority=request.route.priority,
+                work_ms=_ms(claim.load.work_s),
+                predicted_ms=_ms(predicted_s),
+                waiting=len(claim.group.waiting),
+            )
+
     def _log_change(
         self, group: Group, before_s: float, change: RoomChange, now: float
     ) -> None:
--- a/filbertshelf/coordination/route_preview.py
+++ b/filbertshelf/coordination/route_preview.py
@@ -423,14 +423,14 @@
     )
     if starts:
         return result
-    if now + wait_s + entry.load.typical_s > entry.deadline:
+    if wait_s + entry.load.typical_s > _time_left_s(route, request):
         return attrs.evolve(result, refused="no time is left")
     if len(waiting) >= MAX_WAITING:
         displaced = waiting.displaced_by(entry, now)
         if displaced is entry:
             return attrs.evolve(result, refused="the queue is full")
-        result = attrs.evolve(result, displaced=displaced.request_id)
-    late = _late_reason(route, group, entry, wait_s, now)
+        result = attrs.evolve(result, displaced=group.claims[displaced].request.text_id)
+    late = _late_reason(route, request, group, entry, wait_s, now)
     return attrs.evolve(result, late=late)
 
 
@@ -441,25 +441,34 @@
 def _waiting_request(
     sources: Sources, route: Route, group: Group, request: PreviewRequest, now: float
 ) -> WaitingRequest:
-    objective_s = route.latency_objective_s
+    left_s = _time_left_s(route, request)
+    objective_s = min(route.latency_objective_s, left_s)
+    answer_by = now + min(route.latency_objective_s - RETURN_MARGIN_S, left_s)
     return WaitingRequest(
-        "",
         route.name,
         sources.delegation.data_centre,
         route.priority,
-        now + objective_s - RETURN_MARGIN_S,
-        now + min(request.deadline_s, route.timeout_s),
+        answer_by,
         now + WAIT_SHARE * objective_s,
         group.waiting.known_load(route, sources.context.clock),
-        now,
     )
 
 
+def _time_left_s(route: Route, request: PreviewRequest) -> float:
+    return min(request.deadline_s, route.timeout_s)
+
+
 def _late_reason(
-    route: Route, group: Group, entry: WaitingRequest, wait_s: float, now: float
+    route: Route,
+    request: PreviewRequest,
+    group: Group,
+    entry: WaitingRequest,
+    wait_s: float,
+    now: float,
 ) -> str:
     """Return why a request would be refused after a part of its objective."""
-    decided_s = decision_delay_s(route.latency_objective_s, RETURN_MARGIN_S)
+    objective_s = min(route.latency_objective_s, _time_left_s(route, request))
+    decided_s = decision_delay_s(objective_s, RETURN_MARGIN_S)
     if wait_s <= decided_s:
         return ""
     needed_s = PREDICTION_MARGIN * (wait_s - decided_s) + entry.load.typical_s
