Close slow requests first at the cap on callers' connections

Idle and new connections of well-behaved callers ranked below requests of which one byte had come, and were aborted with a request in transit. Slow requests are now closed first, new connections last, and idle ones without a reset.

--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -27,6 +27,7 @@
     LINE_BYTES,
     REQUEST_BYTES,
     STALL_S,
+    TRANSIENT_DESCRIPTORS,
     CallerBudget,
 )
 from filbertshelf.transport.http1.message_bounds import max_framing_bytes
@@ -50,6 +51,17 @@
 # socket with unread bytes would reset it and lose the response.
 LINGER_S = 1.0
 TCP_USER_TIMEOUT_MS = 10_000
+# How long a new connection, or one whose request has begun to come, is closed for the
+# cap only after all others.
+EVICTION_GRACE_S = 1.0
+# Connections that one scan evicts at the cap, and evicted ones that linger. Those are
+# not counted, so they take half of the descriptors for connections in transition.
+EVICTION_BATCH = TRANSIENT_DESCRIPTORS // 2
+# A batch is at most this part of the cap.
+EVICTION_SHARE = 16
+# How long new connections are refused without a scan if the last one found none to
+# evict.
+EVICTION_RETRY_S = 0.05
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -63,7 +75,17 @@
     CLOSING = "closing"
 
 
-_EVICTION_RANKS = {Phase.IDLE: 0, Phase.CLOSING: 1, Phase.HEAD: 2, Phase.BODY: 2}
+class EvictionRank(enum.IntEnum):
+    """The order in which connections are closed at the cap, the lowest first.
+
+    A request that comes slowly ranks below an idle connection, because one byte would
+    otherwise protect a connection better than a caller that behaves well.
+    """
+
+    SLOW_REQUEST = 0
+    IDLE = 1
+    CLOSING = 2
+    RECENT = 3
 
 
 @attrs.define(eq=False)
@@ -121,7 +143,7 @@
         self._message_bytes = 0
         self._reset_message()
         self._phase = Phase.IDLE
-        self._phase_since = clock.monotonic()
+        self._accepted_at = self._phase_since = clock.monotonic()
         self._deadline = self._phase_since + self._limits.idle_timeout_s
 
     def _reset_message(self) -> None:
@@ -253,7 +275,7 @@
         self._leave()
 
     def _leave(self) -> None:
-        self._server.connections.discard(self)
+        self._server.discard(self)
         self._phase = Phase.CLOSING
         self._drop_received()
         self._budget.release(self)
@@ -463,23 +485,45 @@
     def cut(self, bound: str) -> None:
         """Close the connection at once for a bound."""
         self._report_closed(bound, self._budget.held_by(self))
-        self._transport.abort()
-        # `connection_lost` comes later, when further connections may have been read.
-        self._leave()
+        self.abort()
 
     def _report_closed(self, bound: str, held: int) -> None:
         peer = self._transport.get_extra_info("peername") or ("",)
         self._budget.on_closed(bound, held, str(peer[0]))
 
-    @property
-    def eviction_key(self) -> tuple[int, float] | None:
+    def evict(self) -> None:
+        """Close the connection for the cap; an idle one lingers, to avoid a reset."""
+        if self._phase is not Phase.IDLE:
+            self.cut("connections")
+            return
+        self._report_closed("connections", self._budget.held_by(self))
+        self.close()
+        self._budget.release(self)
+        self._server.linger(self)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+        # `connection_lost` comes later, when further connections may have been read.
+        self._leave()
+
+    def eviction_key(self, now: float) -> tuple[EvictionRank, float] | None:
         """Return the rank and age, the lowest of which is closed first.
 
         None if a request has been received or an answer is not sent.
         """
         if self._running is not None or self._queue or self._stall is not None:
             return None
-        return _EVICTION_RANKS[self._phase], self._phase_since
+        return self._eviction_rank(now), self._phase_since
+
+    def _eviction_rank(self, now: float) -> EvictionRank:
+        if self._phase is Phase.CLOSING:
+            return EvictionRank.CLOSING
+        if self._phase is Phase.IDLE:
+            new = now - self._accepted_at < EVICTION_GRACE_S
+            return EvictionRank.RECENT if new else EvictionRank.IDLE
+        slow = now - self._phase_since >= EVICTION_GRACE_S
+        return EvictionRank.SLOW_REQUEST if slow else EvictionRank.RECENT
 
     # Timeouts and closing.
 
@@ -577,6 +621,9 @@
         self._server: asyncio.Server | None = None
         self.address = address
         self.connections: set[CallerConnection] = set()
+        self._lingering: dict[CallerConnection, None] = {}
+        """Evicted connections that still receive, in the order of their eviction."""
+        self._next_scan = 0.0
         self.stopping = False
 
     async def on_start(self) -> None:
@@ -598,7 +645,7 @@
             await self._clock.sleep(DEADLINE_CHECK_INTERVAL_S)
             now = self._clock.monotonic()
             self._check_cap(now)
-            for conn in list(self.connections):
+            for conn in [*self.connections, *self._lingering]:
                 try:
                     conn.check_deadline(now)
                 except Exception as exc:
@@ -606,16 +653,27 @@
                     log_unexpected("the deadline of a caller's connection", exc)
 
     def add(self, conn: CallerConnection) -> None:
-        """Add a new connection; above the cap, the one that is idle longest is closed.
+        """Add a new connection; at the cap, others are evicted first.
 
-        If none is idle, one that is closing or whose request is incomplete is closed,
-        and else the new one.
+        If all have a request or an unsent answer, the new one is closed.
         """
-        if len(self.connections) >= self._cap and not self._evict(1):
+        if len(self.connections) >= self._cap and not self._evict_batch():
             conn.cut("connections")
         else:
             self.connections.add(conn)
 
+    def discard(self, conn: CallerConnection) -> None:
+        """Remove a closed connection."""
+        self.connections.discard(conn)
+        self._lingering.pop(conn, None)
+
+    def linger(self, conn: CallerConnection) -> None:
+        """Count an evicted connection no more; the oldest of too many is aborted."""
+        self.connections.discard(conn)
+        self._lingering[conn] = None
+        if len(self._lingering) > EVICTION_BATCH:
+            next(iter(self._lingering)).abort()
+
     @property
     def _cap(self) -> float:
         return self._max_connections or self.budget.max_connections
@@ -624,18 +682,30 @@
         """Adjust the cap, and keep to it if others need more descriptors by now."""
         if self._max_connections:
             return
-        self.budget.check_descriptors(len(self.connections), now)
+        held = len(self.connections) + len(self._lingering)
+        self.budget.check_descriptors(held, now)
         excess = len(self.connections) - self._cap
         if excess > 0:
-            self._evict(int(excess))
+            self._evict(int(excess), now)
 
-    def _evict(self, count: int) -> int:
+    def _evict_batch(self) -> int:
+        """Make room for several new connections, since each scan looks at all."""
+        now = self._clock.monotonic()
+        if now < self._next_scan:
+            return 0
+        batch = min(EVICTION_BATCH, max(1, int(self._cap) // EVICTION_SHARE))
+        evicted = self._evict(batch, now)
+        if not evicted:
+            self._next_scan = now + EVICTION_RETRY_S
+        return evicted
+
+    def _evict(self, count: int, now: float) -> int:
         """Close at most `count` connections; return how many were."""
-        keys = {conn: conn.eviction_key for conn in self.connections}
+        keys = {conn: conn.eviction_key(now) for conn in self.connections}
         evictable = [conn for conn, key in keys.items() if key is not None]
         chosen = heapq.nsmallest(count, evictable, key=keys.__getitem__)
         for conn in chosen:
-            conn.cut("connections")
+            conn.evict()
         return len(chosen)
 
     @property
--- a/test/transport/test_caller_bounds.py
+++ b/test/transport/test_caller_bounds.py
@@ -239,3 +239,107 @@
         await until(lambda: any(conn.busy for conn in server.connections))
         async with connection(server, GET) as (reader, _writer):
             assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_slow_request_makes_room_before_an_idle_connection(
+    server, closed, monkeypatch
+):
+    # Guards against callers that send one byte and outlast those that behave well.
+    monkeypatch.setattr(server_module, "EVICTION_GRACE_S", 0.1)
+    server.budget.max_connections = 2
+    async with connection(server, GET) as (idle, writer), connection(server, b"G"):
+        await idle.readuntil(b"\r\n\r\n")
+        await until(lambda: server.in_flight == 1)
+        await asyncio.sleep(0.15)
+        async with connection(server):
+            await until(lambda: closed)
+            assert server.in_flight == 0
+            await idle.readexactly(1)
+            writer.write(GET)
+            assert (await idle.readline()).startswith(b"HTTP/1.1 200")
+
+
+async def test_an_old_idle_connection_makes_room_before_a_new_one(
+    server, closed, monkeypatch
+):
+    # Guards against closing a new connection before its first request has come.
+    monkeypatch.setattr(server_module, "EVICTION_GRACE_S", 0.3)
+    server.budget.max_connections = 2
+    async with connection(server, GET) as (used, used_writer):
+        await used.readuntil(b"\r\n\r\n")
+        await used.readexactly(1)
+        await asyncio.sleep(0.35)
+        async with connection(server) as (new, new_writer):
+            await until(lambda: len(server.connections) == 2)
+            used_writer.write(GET)
+            await used.readuntil(b"\r\n\r\n")
+            await used.readexactly(1)
+            # Now the new connection is idle for longer than the used one.
+            async with connection(server):
+                await until(lambda: closed)
+                assert await used.read() == b""
+                new_writer.write(GET)
+                assert (await new.readline()).startswith(b"HTTP/1.1 200")
+
+
+async def write_repeatedly(writer):
+    """Write three times; this raises if the first write causes a reset."""
+    for _ in range(3):
+        writer.write(GET)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+
+
+async def test_a_request_on_an_evicted_connection_causes_no_reset(server, app, closed):
+    # Guards against a reset while a request is in transit to an idle connection.
+    server.budget.max_connections = 1
+    async with connection(server) as (idle, writer):
+        await until(lambda: server.connections)
+        async with connection(server) as (_new, new_writer):
+            await until(lambda: closed)
+            await write_repeatedly(writer)
+            assert await idle.read() == b""
+            assert app.handled == 0
+            new_writer.write(GET)
+            await until(lambda: app.handled == 1)
+            await asyncio.sleep(1.5)
+            # The lingering ends by itself.
+            with pytest.raises(ConnectionError):
+                await write_repeatedly(writer)
+    assert closed == ["connections"]
+
+
+@pytest.mark.parametrize("hold", [False, True], ids=["idle", "busy"])
+async def test_few_scans_at_the_cap(server, app, closed, hold, monkeypatch):
+    # Guards against a scan of all connections for each that is accepted.
+    scans = []
+    evict = HttpServer._evict
+    monkeypatch.setattr(
+        HttpServer, "_evict", lambda *args: scans.append(0) or evict(*args)
+    )
+    monkeypatch.setattr(server_module, "EVICTION_RETRY_S", 60.0)
+    server.budget.max_connections = 64
+    app.hold = hold
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(64):
+            await stack.enter_async_context(connection(server, GET))
+        await until(lambda: app.handled == 64)
+        for _ in range(16):
+            await stack.enter_async_context(connection(server))
+        await until(lambda: len(closed) == 16)
+        assert len(scans) == (1 if hold else 4)
+        assert len(server.connections) == 64
+
+
+async def test_evicted_connections_that_linger_are_few(server, closed):
+    # Guards against evicted connections that take the descriptors of others.
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(60):
+            await stack.enter_async_context(connection(server))
+        await until(lambda: len(server.connections) == 60)
+        server.budget.max_connections = 1
+        await until(lambda: len(server.connections) == 1)
+        assert len(server._lingering) == server_module.EVICTION_BATCH
+        server.budget.max_connections = 100
+        await until(lambda: not server._lingering)
+    assert closed == ["connections"] * 59
