--- a/filbertshelf/transport/http1/pool.py
+++ b/filbertshelf/transport/http1/pool.py
@@ -84,17 +84,29 @@
         self.start_waiting()
 
     def start_waiting(self) -> None:
-        """Start queued exchanges if the server has taken enough of the others."""
+        """Start queued exchanges if the server has taken enough of the others.
+
+        None holds up those behind it. For the ones that can't use an idle connection,
+        others are opened, because `submit` opens none while nothing may be written.
+        """
         now = self._clock.monotonic()
         for exchange in list(self._waiting):
-            if not self._may_write():
-                return
+            if not self._idle or not self._may_write():
+                break
+            if exchange.end is not None or exchange.connection is not None:
+                # A call-back of another one has ended or started it.
+                continue
             conn = self._pop_idle(now, exchange)
-            if conn is None:
-                self._connect_for_waiting()
-                return
-            self._waiting.remove(exchange)
-            conn.send(exchange, now)
+            if conn is not None:
+                self._waiting.remove(exchange)
+                conn.send(exchange, now)
+        self._connect_for_waiting()
+        while (
+            len(self._connecting) < len(self._waiting)
+            and self.size < self.quota
+            and self._may_write()
+        ):
+            self._connect()
 
     def _connect_for_waiting(self) -> None:
         if self._waiting and not self._connecting and self._may_write():
--- a/test/transport/test_untaken_requests.py
+++ b/test/transport/test_untaken_requests.py
@@ -123,3 +123,40 @@
     await target.answer_next(len(SMALL))
     await wait_for(lambda: exchange.end)
     assert exchange.end is ExchangeEnd.RESPONDED
+
+
+async def test_waiting_requests_start_together_when_the_target_reads_again(
+    requests, target, monkeypatch
+):
+    # Guards against requests that share one connection while the quota allows more.
+    monkeypatch.setattr(pool, "MAX_TARGET_BYTES", 1_000_000)
+    first = submit(requests)
+    await wait_for(lambda: requests.untaken.total)
+    waiting = [submit(requests, SMALL, b"") for _ in range(4)]
+    await target.answer_next(len(HEAD + BODY))
+    await wait_for(lambda: first.end)
+    # The target answers none of them.
+    await wait_for(lambda: all(exchange.written for exchange in waiting))
+    assert requests.size <= requests.quota
+
+
+async def test_a_waiting_request_does_not_hold_up_those_behind_it(
+    requests, target, monkeypatch
+):
+    # Guards against a request that can't use the idle connection and is the first.
+    monkeypatch.setattr(pool, "MAX_TARGET_BYTES", 1_000_000)
+    requests.quota = 2
+    requests.warm_up()
+    await wait_for(lambda: requests._idle)
+    idle = requests._idle[0]
+    monkeypatch.setattr(requests, "_may_write", lambda: False)
+    first = Exchange(
+        lambda: SMALL, b"", lambda _exchange: None, avoid=frozenset([idle])
+    )
+    requests.submit(first)
+    second = submit(requests, SMALL, b"")
+    monkeypatch.undo()
+    requests.start_waiting()
+    assert (first.written, second.connection) == (False, idle)
+    await wait_for(lambda: first.written)
+    assert first.connection is not idle
