--- a/filbertshelf/events/requests.py
+++ b/filbertshelf/events/requests.py
@@ -170,8 +170,9 @@
 CONNECTION_CLOSED_FOR_BOUND = define(
     220,
     "connection-closed-for-bound",
-    "A connection exceeded a bound and was closed, or its request was refused; further "
-    "ones in the same second are only counted.",
+    "A connection exceeded a bound and was closed, or its request was refused; at most "
+    "ten lines a second, further ones are only counted. `peer` is the caller or, for "
+    "untaken requests, the target.",
     "bound",
     "bytes",
     "peer",
--- a/test/test_catalogue.py
+++ b/test/test_catalogue.py
@@ -8,6 +8,7 @@
 import pytest
 
 from filbertshelf import catalogue, events
+from filbertshelf.coordination import gateway
 
 ROOT = Path(__file__).parent.parent
 PAGES = {"events.md": catalogue.render_events, "settings.md": catalogue.render_settings}
@@ -37,6 +38,14 @@
     assert unused == []
 
 
+def test_the_event_of_a_closed_connection_names_its_rate_limit():
+    # Guards against a page that promises fewer lines than the log may have.
+    assert gateway.MAX_BOUND_LINES_PER_S == 10
+    summary = events.CONNECTION_CLOSED_FOR_BOUND.summary
+    assert "at most ten lines a second" in summary
+    assert "`peer` is the caller or, for untaken requests, the target" in summary
+
+
 if __name__ == "__main__":
     for name, render in PAGES.items():
         (ROOT / "docs" / name).write_text(render())
