--- a/filbertshelf/coordination/router.py
+++ b/filbertshelf/coordination/router.py
@@ -321,7 +321,11 @@
 
     def _log_disconnect(self, request: RoutedRequest) -> None:
         self._metrics.callers_left.inc()
-        elapsed = self._context.clock.monotonic() - request.http_request.received_at
+        now = self._context.clock.monotonic()
+        if not self._context.log_limit.allows(now):
+            self._metrics.dropped_log_lines.inc()
+            return
+        elapsed = now - request.http_request.received_at
         events.emit(
             events.CALLER_LEFT,
             request_id=request.text_id,
--- a/test/coordination/test_gateway.py
+++ b/test/coordination/test_gateway.py
@@ -8,6 +8,7 @@
 import json
 import random
 from datetime import timedelta
+from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -28,6 +29,7 @@
 from filbertshelf.platform.store import StoreClient
 from filbertshelf.protocol.http_messages import Response, find_field
 from filbertshelf.settings import Settings
+from filbertshelf.state.log_limit import MAX_LINES_PER_SECOND
 from filbertshelf.state.retry_window import RetryPolicy
 from filbertshelf.state.routing import Limits
 from filbertshelf.state.withholding import Cause
@@ -655,6 +657,23 @@
     assert f'{name}{{bound="memory"}} 100.0' in text
 
 
+async def test_callers_that_leave_are_counted_and_some_logged(deployment, log):
+    # Guards against a log that grows with each caller that is cut off.
+    gateway = deployment.gateways[0]
+    context = gateway.router._context
+    http_request = SimpleNamespace(received_at=context.clock.monotonic())
+    request = SimpleNamespace(text_id="r1", http_request=http_request)
+    for _ in range(1_000):
+        gateway.router._log_disconnect(request)
+    lines = [line for line in log if line["event"] == 211]
+    # The loop may run in two seconds of the clock.
+    assert 0 < len(lines) <= 2 * MAX_LINES_PER_SECOND
+    text = gateway.metrics.render().decode()
+    assert "filbertshelf_callers_left_total 1000.0" in text
+    left_out = 1_000 - len(lines)
+    assert f"filbertshelf_log_lines_left_out_total {left_out}.0" in text
+
+
 async def test_a_reload_applies_the_memory_and_descriptors(deployment):
     gateway, source = deployment.gateways[0], deployment.settings[0]
     source.cfg = attrs.evolve(
