--- a/filbertshelf/transport/http1/caller_budget.py
+++ b/filbertshelf/transport/http1/caller_budget.py
@@ -9,7 +9,7 @@
 
 from filbertshelf.transport.http1.message_bounds import HeldBytes
 
-MEMORY_SHARE = 0.2
+CALLER_MEMORY_SHARE = 0.2
 """The share of the machine's memory for callers' connections.
 
 An idle gateway takes about a third, and unfinished responses of targets up to a fifth.
@@ -36,7 +36,7 @@
 
 DESCRIPTOR_CHECK_S = 1.0
 
-STALL_S = 10.0
+CALLER_STALL_S = 10.0
 """A caller that takes no byte of its answers for this long is cut off.
 
 The same as the TCP user timeout of callers' connections, which bounds the time without
@@ -58,7 +58,7 @@
         """Return how many bytes the connections of all callers may hold."""
         if not self.memory_bytes:
             return DEFAULT_BUDGET_BYTES
-        return max(MIN_BUDGET_BYTES, int(self.memory_bytes * MEMORY_SHARE))
+        return max(MIN_BUDGET_BYTES, int(self.memory_bytes * CALLER_MEMORY_SHARE))
 
     def max_connections(self, other_descriptors: int) -> float:
         """Return how many connections callers may have.
--- a/filbertshelf/transport/http1/connection.py
+++ b/filbertshelf/transport/http1/connection.py
@@ -22,7 +22,7 @@
 from filbertshelf.transport.http1.untaken_requests import (
     BUFFERED_BYTES,
     STALL_CHECK_S,
-    STALL_S,
+    TARGET_STALL_S,
     UntakenRequests,
 )
 
@@ -358,7 +358,7 @@
         if self._transport.is_closing():
             return
         untaken = untaken_bytes(self._transport)
-        if self._meter.stalled_s(untaken, self._pool.monotonic()) > STALL_S:
+        if self._meter.stalled_s(untaken, self._pool.monotonic()) > TARGET_STALL_S:
             self._conn.give_up_request("untaken request", self.count)
             return
         loop = asyncio.get_running_loop()
--- a/filbertshelf/transport/http1/server.py
+++ b/filbertshelf/transport/http1/server.py
@@ -24,9 +24,9 @@
 from filbertshelf.state.routing import Limits
 from filbertshelf.supervision import log_unexpected
 from filbertshelf.transport.http1.caller_budget import (
+    CALLER_STALL_S,
     LINE_BYTES,
     REQUEST_BYTES,
-    STALL_S,
     TRANSIENT_DESCRIPTORS,
     CallerBudget,
 )
@@ -569,7 +569,7 @@
     def _check_stall(self, now: float) -> None:
         if self._transport.is_closing():
             return
-        if self._stall.stalled_s(untaken_bytes(self._transport), now) > STALL_S:
+        if self._stall.stalled_s(untaken_bytes(self._transport), now) > CALLER_STALL_S:
             self.cut("unread answers")
         else:
             self._update_budget()
--- a/filbertshelf/transport/http1/untaken_requests.py
+++ b/filbertshelf/transport/http1/untaken_requests.py
@@ -6,7 +6,7 @@
 
 from filbertshelf.transport.http1.message_bounds import HeldBytes
 
-MEMORY_SHARE = 0.1
+UNTAKEN_MEMORY_SHARE = 0.1
 """The share of the machine's memory for requests that no target has taken.
 
 The callers' budget counts a request while its caller waits; this one also counts those
@@ -20,7 +20,7 @@
 MAX_TARGET_BYTES = 4 * 1024 * 1024
 """Bytes that one target may leave untaken before further requests to it wait."""
 
-STALL_S = 5.0
+TARGET_STALL_S = 5.0
 """The exchange with a target that takes no byte for this long is ended."""
 
 STALL_CHECK_S = 0.5
@@ -50,4 +50,4 @@
     """Return how many bytes all targets together may leave untaken."""
     if not memory_bytes:
         return DEFAULT_TOTAL_BYTES
-    return max(MIN_TOTAL_BYTES, int(memory_bytes * MEMORY_SHARE))
+    return max(MIN_TOTAL_BYTES, int(memory_bytes * UNTAKEN_MEMORY_SHARE))
--- a/test/transport/test_caller_bounds.py
+++ b/test/transport/test_caller_bounds.py
@@ -11,6 +11,7 @@
 from filbertshelf.clock import SystemClock
 from filbertshelf.protocol.http_messages import Response
 from filbertshelf.state.routing import Limits
+from filbertshelf.transport.http1 import caller_budget, untaken_requests
 from filbertshelf.transport.http1 import server as server_module
 from filbertshelf.transport.http1.caller_budget import CallerBounds, CallerBudget
 from filbertshelf.transport.http1.server import HttpServer
@@ -175,7 +176,7 @@
 
 async def test_a_caller_that_never_reads_is_cut(server, app, closed, monkeypatch):
     # Guards against unread answers that are held without end.
-    monkeypatch.setattr(server_module, "STALL_S", 0.5)
+    monkeypatch.setattr(server_module, "CALLER_STALL_S", 0.5)
     app.body = ANSWER
     async with connection(server, GET, receive_bytes=4_096):
         await until(lambda: closed)
@@ -187,7 +188,7 @@
 async def test_a_slow_reader_gets_its_answer(server, app, closed, option, monkeypatch):
     # Guards against counting the kernel's pace for a stall, and against the end of the
     # linger or idle time, both of which are shorter than the transfer.
-    monkeypatch.setattr(server_module, "STALL_S", 1.0)
+    monkeypatch.setattr(server_module, "CALLER_STALL_S", 1.0)
     app.idle_timeout_s = 0.6
     app.body = ANSWER
     get = GET[:-2] + b"Connection: %b\r\n\r\n" % option
@@ -343,3 +344,13 @@
         server.budget.max_connections = 100
         await until(lambda: not server._lingering)
     assert closed == ["connections"] * 59
+
+
+def test_the_bounds_on_callers_and_on_targets_have_names_of_their_own():
+    # Guards against importing the constant of the other bound.
+    shared = {
+        name
+        for name in vars(caller_budget)
+        if name.isupper() and name in vars(untaken_requests)
+    }
+    assert shared == set()
--- a/test/transport/test_untaken_requests.py
+++ b/test/transport/test_untaken_requests.py
@@ -97,7 +97,7 @@
 
 async def test_a_request_that_is_not_taken_ends(requests, closed, monkeypatch):
     # Guards against a body that is held until a long deadline of its route.
-    monkeypatch.setattr(connection, "STALL_S", 0.2)
+    monkeypatch.setattr(connection, "TARGET_STALL_S", 0.2)
     exchange = submit(requests)
     await wait_for(lambda: exchange.end)
     assert exchange.end is ExchangeEnd.NOT_TAKEN
