--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -34,6 +34,9 @@
 TOLD_SLACK_S = 0.5
 """How long after an answer with the limit a process may go on, in seconds."""
 
+EVACUATE_S = 5.0
+"""How long after the write of its key an evacuation may take effect, in seconds."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and will not run."""
 
@@ -183,6 +186,18 @@
                 yield f"DRAIN {request}: {run}"
 
 
+def check_evacuations(history: History) -> Iterator[str]:
+    """Yield a line for each request that reached an evacuated target."""
+    for evacuation in history.evacuations:
+        in_force_at = evacuation.written_at + EVACUATE_S
+        for arrival in history.arrivals:
+            if (
+                arrival.zone == evacuation.zone
+                and in_force_at <= arrival.arrived_at < evacuation.removed_at
+            ):
+                yield f"EVACUATED {evacuation}: {arrival}"
+
+
 def _limited_run_times(history: History, limit: RateLimit) -> Iterator[float]:
     """Yield the starts of runs that a gateway knew the limit for.
 
@@ -227,6 +242,7 @@
     check_deadlines,
     check_rate_limits,
     check_leaving_targets,
+    check_evacuations,
 )
 
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -11,9 +11,9 @@
 from test.platform.store_standin import StoreStandin
 from test.soak.checks import MAX_TARGETS, MIN_COVERAGE, TOP_K
 from test.soak.gateways import GatewayProcess
-from test.soak.history import Config, History
+from test.soak.history import Config, Evacuation, History
 from test.soak.proxy import Proxy
-from test.soak.targets import Target
+from test.soak.targets import HEALTH_PATH, Target
 
 ZONES = ("zone-a", "zone-b")
 SHARDS = 6
@@ -182,6 +182,18 @@
         item = self.store.items.get(key)
         return item is not None and item["modRevision"] == revision
 
+    def evacuate(self, zone: str) -> Evacuation:
+        """Write the evacuation key of a data centre into the store."""
+        self.store.put(f"op/evacuate/{zone}", {})
+        evacuation = Evacuation(zone, self.history.now())
+        self.history.evacuations.append(evacuation)
+        return evacuation
+
+    def end_evacuation(self, evacuation: Evacuation) -> None:
+        """Remove the evacuation key of a data centre."""
+        evacuation.removed_at = self.history.now()
+        self.store.delete(f"op/evacuate/{evacuation.zone}")
+
     async def reshard(self) -> None:
         """Start new shards, publish them after a delay, then drain the old ones."""
         old_targets = [
@@ -243,7 +255,11 @@
         ]
         names = ("desk", config.moving_service, *config.shards)
         services = [
-            {"name": name, "healthPath": "/health", "maxConns": MAX_CONNECTIONS}
+            {
+                "name": name,
+                "healthPath": HEALTH_PATH.decode(),
+                "maxConns": MAX_CONNECTIONS,
+            }
             for name in names
         ]
         return {
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -52,6 +52,25 @@
     ended_at: float = float("inf")
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached a target, also one that the target refuses."""
+
+    request_id: str
+    target: str
+    zone: str
+    arrived_at: float
+
+
+@attrs.define
+class Evacuation:
+    """The time in which the store held the evacuation key of a data centre."""
+
+    zone: str
+    written_at: float
+    removed_at: float = float("inf")
+
+
 @attrs.define
 class CallerRequest:
     """One request of a caller and its result.
@@ -98,6 +117,8 @@
     answers: dict[str, Answer] = attrs.field(factory=dict)
     ended_targets: set[str] = attrs.field(factory=set)
     rate_limits: list[RateLimit] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -1,4 +1,4 @@
-"""One soak from a seed: maintenance, then faults, then the recovery."""
+"""One soak from a seed: maintenance, faults, recovery, evacuation."""
 
 from __future__ import annotations
 
@@ -75,6 +75,7 @@
             gateway.use_caller_proxy = True
         await schedule.run_faults(fleet, history.now() + phases.faults_s)
         violations += await _recovery_violations(fleet, phases.measured_s)
+        await schedule.run_evacuation(fleet)
         for caller in callers:
             caller.stop()
         await asyncio.sleep(LAST_ANSWERS_S)
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -6,10 +6,14 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from test.soak.fleet import SoakFleet
+from test.soak.checks import EVACUATE_S
+from test.soak.fleet import ZONES, SoakFleet
 from test.soak.history import RateLimit
 from test.soak.proxy import ENDLESS_BYTES, Proxy
 
+RETURN_S = 4.0
+"""How long callers go on after the end of an evacuation, in seconds."""
+
 Step = Callable[[SoakFleet], Awaitable[None]]
 
 
@@ -201,6 +205,35 @@
     await _run_steps(fleet, (*FAULTS, *FAULTS, *MAINTENANCE), until, (0.1, 0.8))
 
 
+async def cut_off_from_store(fleet: SoakFleet) -> None:
+    """Disturb the store connections of one gateway, which can still ask its peers."""
+    await _disturb_connections(fleet, [fleet.rng.choice(fleet.gateways).store_proxy])
+
+
+EVACUATION_STEPS: tuple[Step, ...] = (
+    *MAINTENANCE,
+    kill_gateways,
+    crash_target,
+    cut_off_from_store,
+)
+"""Steps under which an evacuation must hold.
+
+Paused gateways and delayed connections to targets are left out, because what is sent in
+time may then arrive late.
+"""
+
+
+async def run_evacuation(fleet: SoakFleet) -> None:
+    """Evacuate a data centre, and return it, during maintenance and some faults."""
+    rng = random.Random(f"evacuation of {fleet.seed}")
+    evacuation = fleet.evacuate(rng.choice(ZONES))
+    evacuated_s = EVACUATE_S + rng.uniform(2.0, 4.0)
+    removal = fleet.history.now() + evacuated_s
+    await _run_steps(fleet, EVACUATION_STEPS, removal, (0.5, 1.5))
+    fleet.end_evacuation(evacuation)
+    await asyncio.sleep(RETURN_S)
+
+
 async def _run_steps(
     fleet: SoakFleet,
     steps: tuple[Step, ...],
--- a/test/soak/targets.py
+++ b/test/soak/targets.py
@@ -11,12 +11,13 @@
 from filbertshelf.protocol.http_messages import HeaderField, Response, find_field
 from filbertshelf.state.routing import Limits
 from filbertshelf.transport.http1.server import HttpServer, Request
-from test.soak.history import Answer, History, RateLimit, Run
+from test.soak.history import Answer, Arrival, History, RateLimit, Run
 from test.soak.proxy import Proxy
 
 SLOTS = 2
 QUEUE = 6
 RECORDS = 8
+HEALTH_PATH = b"/health"
 RECORD_BYTES = 16
 
 
@@ -85,6 +86,10 @@
 
     def handle(self, req: Request) -> None:
         """Refuse a request, or run it after its time in the queue."""
+        request_id = (find_field(req.fields, b"request-id") or b"").decode()
+        if req.target != HEALTH_PATH:
+            arrival = Arrival(request_id, self.id, self.zone, self._history.now())
+            self._history.arrivals.append(arrival)
         refusal = ((b"Not-Executed", b"1"), *self._leaving_fields())
         if find_field(req.fields, b"expect-instance") != self.id.encode():
             req.reply(Response(421, refusal))
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -11,7 +11,16 @@
     lost_during_maintenance,
     served_share,
 )
-from test.soak.history import Answer, CallerRequest, Config, History, RateLimit, Run
+from test.soak.history import (
+    Answer,
+    Arrival,
+    CallerRequest,
+    Config,
+    Evacuation,
+    History,
+    RateLimit,
+    Run,
+)
 from test.soak.targets import RECORD_BYTES, records
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -109,6 +118,14 @@
     return make_history(first, second, runs=[make_run("desk", 2)], answers=[answer])
 
 
+def evacuated_history(arrived_at: float) -> History:
+    """Return a history with an arrival in a data centre evacuated from 10 to 20 s."""
+    history = make_history()
+    history.evacuations.append(Evacuation("z1", 10.0, 20.0))
+    history.arrivals.append(Arrival("r1", "t1", "z1", arrived_at))
+    return history
+
+
 BOOKING = {"method": b"POST", "path": b"/book/1"}
 VIOLATING_HISTORIES = {
     "TWICE": make_history(make_request("book"), runs=[make_run("desk", **BOOKING)] * 2),
@@ -145,6 +162,7 @@
     ),
     "LIMIT": limited_history(12),
     "DRAIN": leaving_history(3.0),
+    "EVACUATED": evacuated_history(15.1),
     "CONFIG back": make_history(
         make_request("move", 1),
         make_request("move", 2),
@@ -175,6 +193,8 @@
         limited_history(11),
         limited_history(40, told=False),
         leaving_history(1.3),
+        evacuated_history(14.9),
+        evacuated_history(20.1),
     ],
 )
 def test_a_correct_history_has_no_violations(history):
