--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -37,6 +37,10 @@
 EVACUATE_S = 5.0
 """How long after the write of its key an evacuation may take effect, in seconds."""
 
+COLD_PER_S = 2.0
+COLD_BOUND = COLD_PER_S * 1.5 + 5
+"""The requests in any second that a cold target may get; the factors are defaults."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and will not run."""
 
@@ -198,6 +202,19 @@
                 yield f"EVACUATED {evacuation}: {arrival}"
 
 
+def check_cold_targets(history: History) -> Iterator[str]:
+    """Yield a line for each cold target that got too many requests in a second."""
+    arrivals = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        if not arrival.misdirected:
+            arrivals[arrival.target].append(arrival.arrived_at)
+    for cold in history.cold_times:
+        times = [t for t in arrivals[cold.target] if cold.known_at <= t < cold.ends_at]
+        most = max((sum(t <= at < t + 1 for at in times) for t in times), default=0)
+        if most > COLD_BOUND:
+            yield f"COLD {most} in a second of {COLD_BOUND:.1f}: {cold}"
+
+
 def _limited_run_times(history: History, limit: RateLimit) -> Iterator[float]:
     """Yield the starts of runs that a gateway knew the limit for.
 
@@ -243,6 +260,7 @@
     check_rate_limits,
     check_leaving_targets,
     check_evacuations,
+    check_cold_targets,
 )
 
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 
 from test.platform.store_standin import StoreStandin
-from test.soak.checks import MAX_TARGETS, MIN_COVERAGE, TOP_K
+from test.soak.checks import COLD_PER_S, MAX_TARGETS, MIN_COVERAGE, TOP_K
 from test.soak.gateways import GatewayProcess
 from test.soak.history import Config, Evacuation, History
 from test.soak.proxy import Proxy
-from test.soak.targets import HEALTH_PATH, Target
+from test.soak.targets import COLD_S, HEALTH_PATH, Target
 
 ZONES = ("zone-a", "zone-b")
 SHARDS = 6
@@ -44,6 +44,8 @@
         ]
         self.tasks: set[asyncio.Task] = set()
         self.allow_early_reloads = True
+        self.has_cold_targets = False
+        """Whether new targets are cold, and versions state the rate of cold targets."""
         self.first_revision = 0
         """The store's revision after the start; all copies are of later ones."""
         self._config_revision = 0
@@ -113,6 +115,8 @@
             target = Target(service, zone, work_s, self.history, self.rng)
             await target.start()
             self.targets.append(target)
+            if self.has_cold_targets:
+                target.turn_cold(0.0)
             self._list_target(target)
 
     def _list_target(self, target: Target) -> None:
@@ -182,6 +186,13 @@
         item = self.store.items.get(key)
         return item is not None and item["modRevision"] == revision
 
+    def turn_cold(self, targets: list[Target], learning_s: float) -> None:
+        """Let targets be cold, which their entries and answers state."""
+        for target in targets:
+            target.turn_cold(learning_s)
+            if target.state != "gone":
+                self._list_target(target)
+
     def evacuate(self, zone: str) -> Evacuation:
         """Write the evacuation key of a data centre into the store."""
         self.store.put(f"op/evacuate/{zone}", {})
@@ -190,7 +201,10 @@
         return evacuation
 
     def end_evacuation(self, evacuation: Evacuation) -> None:
-        """Remove the evacuation key of a data centre."""
+        """Remove the evacuation key of a data centre, whose targets are cold then."""
+        # Their entries come first, so a gateway that sees the removal knows them.
+        returning = [t for t in self.targets if t.zone == evacuation.zone]
+        self.turn_cold(returning, 0.0)
         evacuation.removed_at = self.history.now()
         self.store.delete(f"op/evacuate/{evacuation.zone}")
 
@@ -262,6 +276,9 @@
             }
             for name in names
         ]
+        if self.has_cold_targets:
+            for service in services:
+                service |= {"coldStartS": COLD_S, "coldPerS": COLD_PER_S}
         return {
             "version": config.version,
             "routes": routes,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -60,6 +60,8 @@
     target: str
     zone: str
     arrived_at: float
+    misdirected: bool = False
+    """Whether it was meant for another target and is answered with 421."""
 
 
 @attrs.define
@@ -71,6 +73,15 @@
     removed_at: float = float("inf")
 
 
+@attrs.frozen
+class ColdTime:
+    """A time in which a target is cold and all gateways can know it."""
+
+    target: str
+    known_at: float
+    ends_at: float
+
+
 @attrs.define
 class CallerRequest:
     """One request of a caller and its result.
@@ -119,6 +130,7 @@
     rate_limits: list[RateLimit] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     evacuations: list[Evacuation] = attrs.field(factory=list)
+    cold_times: list[ColdTime] = attrs.field(factory=list)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -11,7 +11,13 @@
 from test.soak.history import RateLimit
 from test.soak.proxy import ENDLESS_BYTES, Proxy
 
-RETURN_S = 4.0
+COLD_LEARNING_S = 3.0
+"""How long gateways may take to learn that a running target has turned cold.
+
+A gateway without peers polls the store every 1.75 s.
+"""
+
+RETURN_S = 5.0
 """How long callers go on after the end of an evacuation, in seconds."""
 
 Step = Callable[[SoakFleet], Awaitable[None]]
@@ -223,9 +229,20 @@
 """
 
 
+async def _turn_targets_cold(fleet: SoakFleet) -> None:
+    """Let targets that run turn cold, two at a time."""
+    rng = random.Random(f"cold targets of {fleet.seed}")
+    while True:
+        await asyncio.sleep(rng.uniform(2.0, 4.0))
+        fleet.turn_cold(rng.sample(fleet.targets, 2), COLD_LEARNING_S)
+
+
 async def run_evacuation(fleet: SoakFleet) -> None:
     """Evacuate a data centre, and return it, during maintenance and some faults."""
     rng = random.Random(f"evacuation of {fleet.seed}")
+    fleet.has_cold_targets = True
+    await fleet.publish_version()
+    fleet.spawn(_turn_targets_cold(fleet))
     evacuation = fleet.evacuate(rng.choice(ZONES))
     evacuated_s = EVACUATE_S + rng.uniform(2.0, 4.0)
     removal = fleet.history.now() + evacuated_s
--- a/test/soak/targets.py
+++ b/test/soak/targets.py
@@ -11,12 +11,13 @@
 from filbertshelf.protocol.http_messages import HeaderField, Response, find_field
 from filbertshelf.state.routing import Limits
 from filbertshelf.transport.http1.server import HttpServer, Request
-from test.soak.history import Answer, Arrival, History, RateLimit, Run
+from test.soak.history import Answer, Arrival, ColdTime, History, RateLimit, Run
 from test.soak.proxy import Proxy
 
 SLOTS = 2
 QUEUE = 6
 RECORDS = 8
+COLD_S = 8.0
 HEALTH_PATH = b"/health"
 RECORD_BYTES = 16
 
@@ -48,6 +49,7 @@
         self.sequence = 0
         """Counts what it has written to the store."""
         self.rate_limit: RateLimit | None = None
+        self._cold_until = 0.0
         self.server = HttpServer(("127.0.0.1", 0), self, SystemClock())
         self.proxy: Proxy | None = None
         self._history = history
@@ -68,6 +70,17 @@
         await self.proxy.stop()
         await self.server.stop()
 
+    def turn_cold(self, learning_s: float) -> None:
+        """Be cold for `COLD_S`; all gateways can know it after the learning time."""
+        now = self._history.now()
+        self._cold_until = now + COLD_S
+        self._history.cold_times.append(
+            ColdTime(self.id, now + learning_s, self._cold_until)
+        )
+
+    def _cold_remaining_ms(self) -> int:
+        return max(0, round((self._cold_until - self._history.now()) * 1000))
+
     def store_entry(self) -> dict:
         """Return the entry of the target in the store."""
         return {
@@ -77,7 +90,7 @@
             "version": "v1",
             "slots": SLOTS,
             "state": self.state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self._cold_remaining_ms(),
             "seq": self.sequence,
             "born": 1_768_766_353_410,
         }
@@ -87,11 +100,14 @@
     def handle(self, req: Request) -> None:
         """Refuse a request, or run it after its time in the queue."""
         request_id = (find_field(req.fields, b"request-id") or b"").decode()
+        misdirected = find_field(req.fields, b"expect-instance") != self.id.encode()
         if req.target != HEALTH_PATH:
-            arrival = Arrival(request_id, self.id, self.zone, self._history.now())
+            arrival = Arrival(
+                request_id, self.id, self.zone, self._history.now(), misdirected
+            )
             self._history.arrivals.append(arrival)
         refusal = ((b"Not-Executed", b"1"), *self._leaving_fields())
-        if find_field(req.fields, b"expect-instance") != self.id.encode():
+        if misdirected:
             req.reply(Response(421, refusal))
         elif self._accepted >= SLOTS + QUEUE:
             req.reply(Response(503, refusal))
@@ -137,6 +153,8 @@
             (b"Request-Id", request_id.encode()),
             *self._leaving_fields(),
         ]
+        if self._cold_until:
+            fields.append((b"Cold-Remaining-Ms", b"%d" % self._cold_remaining_ms()))
         if self.rate_limit is not None:
             fields.append((b"Server-Limit", b"%.1f" % self.rate_limit.per_s))
         req.reply(Response(status, tuple(fields), body))
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -15,6 +15,7 @@
     Answer,
     Arrival,
     CallerRequest,
+    ColdTime,
     Config,
     Evacuation,
     History,
@@ -126,6 +127,15 @@
     return history
 
 
+def cold_history(**changes) -> History:
+    """Return a history with nine requests in a second to a target that is cold."""
+    history = make_history()
+    history.cold_times.append(ColdTime("t1", 10.0, 20.0))
+    arrivals = [Arrival(f"r{n}", "t1", "z1", 12.0 + n / 10) for n in range(9)]
+    history.arrivals += [attrs.evolve(arrival, **changes) for arrival in arrivals]
+    return history
+
+
 BOOKING = {"method": b"POST", "path": b"/book/1"}
 VIOLATING_HISTORIES = {
     "TWICE": make_history(make_request("book"), runs=[make_run("desk", **BOOKING)] * 2),
@@ -162,6 +172,7 @@
     ),
     "LIMIT": limited_history(12),
     "DRAIN": leaving_history(3.0),
+    "COLD": cold_history(),
     "EVACUATED": evacuated_history(15.1),
     "CONFIG back": make_history(
         make_request("move", 1),
@@ -195,6 +206,9 @@
         leaving_history(1.3),
         evacuated_history(14.9),
         evacuated_history(20.1),
+        cold_history(misdirected=True),
+        cold_history(arrived_at=9.9),
+        cold_history(arrived_at=20.1),
     ],
 )
 def test_a_correct_history_has_no_violations(history):
