Add slow readers and routes with priorities under a burst to the soak

They come with the evacuation. The check of refusals covers safe requests and queries too, since a status that says not run holds for every request.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+import socket
 
 from test.soak.gateways import GatewayProcess
 from test.soak.history import CallerRequest, History
@@ -13,6 +14,40 @@
 LATE_ANSWER_WAIT_S = 1.0
 """How long a caller reads past its deadline, in seconds, to detect late answers."""
 
+UNREAD_REQUEST = b"GET /no-route/ HTTP/1.1\r\nHost: soak.example\r\n\r\n"
+"""A request that runs on no target, so it needs no record."""
+
+UNREAD_REQUESTS = 2_000
+RECEIVE_BYTES = 4_096
+"""The receive buffer of a caller that hardly reads, small so that answers wait."""
+
+
+async def send_without_reading(gateway: GatewayProcess, read_bytes: int) -> None:
+    """Pipeline requests and read a few bytes of the answers a second, or none.
+
+    A connection that ends is replaced by another until the task is cancelled.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        sock.setblocking(False)
+        writer = None
+        try:
+            await loop.sock_connect(sock, (gateway.ip, gateway.ports["front"]))
+            reader, writer = await asyncio.open_connection(
+                sock=sock, limit=RECEIVE_BYTES
+            )
+            writer.write(UNREAD_REQUEST * UNREAD_REQUESTS)
+            while not writer.is_closing():
+                await asyncio.sleep(1.0)
+                if read_bytes and not await reader.read(read_bytes):
+                    break
+        except OSError:
+            await asyncio.sleep(1.0)
+        finally:
+            sock.close() if writer is None else writer.transport.abort()
+
 
 class Caller:
     """Sends requests one after another, mostly on the same connection."""
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -64,9 +64,9 @@
             yield f"TWICE {request}: {runs}"
 
 
-def check_refused_bookings_did_not_run(history: History) -> Iterator[str]:
-    """Yield a line for each booking that was answered as not run, but ran."""
-    for request in _bookings(history):
+def check_refused_requests_did_not_run(history: History) -> Iterator[str]:
+    """Yield a line for each request that was answered as not run, but ran."""
+    for request in history.requests:
         runs = history.runs.get(request.request_id, [])
         if request.status in NOT_RUN_STATUSES and runs:
             yield f"REFUSED {request}: {runs}"
@@ -250,7 +250,7 @@
 
 CHECKS: tuple[Callable[[History], Iterator[str]], ...] = (
     check_bookings_run_at_most_once,
-    check_refused_bookings_did_not_run,
+    check_refused_requests_did_not_run,
     check_runs_match_requests,
     check_successful_answers,
     check_known_routes_are_served,
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -24,6 +24,8 @@
 """How long the store lists a target that writes no more, in seconds."""
 
 MAX_CONNECTIONS = 60
+PRIORITIES = {"all": 0, "one": 1, "book": 0, "move": 2}
+"""The routes `one` and `book` use the same service."""
 
 
 class SoakFleet:
@@ -44,6 +46,8 @@
         ]
         self.tasks: set[asyncio.Task] = set()
         self.allow_early_reloads = True
+        self.has_priorities = False
+        """Whether versions state the priorities of routes."""
         self.has_cold_targets = False
         """Whether new targets are cold, and versions state the rate of cold targets."""
         self.first_revision = 0
@@ -279,6 +283,9 @@
         if self.has_cold_targets:
             for service in services:
                 service |= {"coldStartS": COLD_S, "coldPerS": COLD_PER_S}
+        if self.has_priorities:
+            for route in routes:
+                route["priority"] = PRIORITIES[route["name"]]
         return {
             "version": config.version,
             "routes": routes,
--- a/test/soak/gateways.py
+++ b/test/soak/gateways.py
@@ -27,6 +27,8 @@
 cpuShare = 0.7
 cores = 1
 linkMbps = 350.0
+memoryMb = 152
+maxFds = 1535
 [bounds]
 graceS = 6
 retryBudgetRatio = 0.2
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
+from test.soak.callers import Caller, send_without_reading
 from test.soak.checks import EVACUATE_S
 from test.soak.fleet import ZONES, SoakFleet
 from test.soak.history import RateLimit
@@ -17,8 +18,15 @@
 A gateway without peers polls the store every 1.75 s.
 """
 
-RETURN_S = 5.0
-"""How long callers go on after the end of an evacuation, in seconds."""
+SLOW_CALLERS = 12
+BURST_CALLERS = 60
+BURST_S = 4.0
+RETURN_S = 8.0
+"""How long callers go on after the end of an evacuation, in seconds.
+
+With the wait for the last answers it exceeds the 10 s after which a gateway closes the
+connection of a caller that reads nothing.
+"""
 
 Step = Callable[[SoakFleet], Awaitable[None]]
 
@@ -237,12 +245,32 @@
         fleet.turn_cold(rng.sample(fleet.targets, 2), COLD_LEARNING_S)
 
 
+async def _send_burst(fleet: SoakFleet) -> None:
+    """Let more callers than the targets have room for send for some time."""
+    rng = random.Random(f"burst of {fleet.seed}")
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    callers = [
+        Caller(fleet.history, fleet.gateways, rng.getrandbits(32))
+        for _ in range(BURST_CALLERS)
+    ]
+    for caller in callers:
+        fleet.spawn(caller.run())
+    await asyncio.sleep(BURST_S)
+    for caller in callers:
+        caller.stop()
+
+
 async def run_evacuation(fleet: SoakFleet) -> None:
     """Evacuate a data centre, and return it, during maintenance and some faults."""
     rng = random.Random(f"evacuation of {fleet.seed}")
-    fleet.has_cold_targets = True
+    fleet.has_cold_targets = fleet.has_priorities = True
     await fleet.publish_version()
     fleet.spawn(_turn_targets_cold(fleet))
+    fleet.spawn(_send_burst(fleet))
+    for number in range(SLOW_CALLERS):
+        gateway = fleet.gateways[number % len(fleet.gateways)]
+        read_bytes = rng.choice((0, 200, 2_000))
+        fleet.spawn(send_without_reading(gateway, read_bytes))
     evacuation = fleet.evacuate(rng.choice(ZONES))
     evacuated_s = EVACUATE_S + rng.uniform(2.0, 4.0)
     removal = fleet.history.now() + evacuated_s
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -142,6 +142,9 @@
     "REFUSED": make_history(
         make_request("book", status=503), runs=[make_run("desk", **BOOKING)]
     ),
+    "REFUSED safe request": make_history(
+        make_request("one", status=429), runs=[make_run("desk")]
+    ),
     "UNASKED no request": make_history(runs=[make_run("desk")]),
     "UNASKED other path": make_history(
         make_request("one"), runs=[make_run("desk", path=b"/one/2")]
