--- a/test/soak/gateways.py
+++ b/test/soak/gateways.py
@@ -27,8 +27,6 @@
 cpuShare = 0.7
 cores = 1
 linkMbps = 350.0
-memoryMb = 152
-maxFds = 1535
 [bounds]
 graceS = 6
 retryBudgetRatio = 0.2
@@ -67,6 +65,8 @@
         self._settings_path = folder / f"{name}.toml"
         self.last_signal = "no signal"
         """The last signal sent to this process, to explain its exit."""
+        self.machine_limits = ""
+        """Lines on memory and descriptors for the settings; empty if unknown."""
         self._started_at = 0.0
         self._process: asyncio.subprocess.Process | None = None
 
@@ -97,6 +97,7 @@
             min_retries=min_retries,
             **self.ports,
         )
+        text = text.replace("[limits]\n", f"[limits]\n{self.machine_limits}")
         partial = self._settings_path.with_suffix(".new")
         partial.write_text(text, encoding="utf-8")
         partial.replace(self._settings_path)
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -38,9 +38,11 @@
 """
 
 
-MAX_MEMORY_BYTES = 152 * 1024 * 1024
+MACHINE_MEMORY_MB = 152
 """The memory of the smallest machine that a gateway must fit on."""
 
+MACHINE_LIMITS = f"memoryMb = {MACHINE_MEMORY_MB}\nmaxFds = 1535\n"
+
 
 @attrs.frozen
 class Phases:
@@ -58,6 +60,8 @@
     """Run a soak and return one line for each violation of a guarantee."""
     fleet = SoakFleet(seed, folder, phases.gateways)
     fleet.allow_early_reloads = phases.allow_early_reloads
+    for gateway in fleet.gateways:
+        gateway.machine_limits = MACHINE_LIMITS
     history = fleet.history
     violations: list[str] = []
     try:
@@ -125,7 +129,7 @@
         violations += [
             f"FAULT {gateway.name} {exit_}" for exit_ in gateway.unexpected_exits
         ]
-        if gateway.peak_memory_bytes() > MAX_MEMORY_BYTES:
+        if gateway.peak_memory_bytes() > MACHINE_MEMORY_MB * 1024 * 1024:
             violations.append(
                 f"FAULT {gateway.name} used {gateway.peak_memory_bytes()} B of memory"
             )
