--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -34,6 +34,13 @@
 TOLD_SLACK_S = 0.5
 """How long after an answer with the limit a process may go on, in seconds."""
 
+EVACUATE_S = 5.0
+"""How long after the write of its key an evacuation may take effect, in seconds."""
+
+COLD_PER_S = 2.0
+COLD_BOUND = COLD_PER_S * 1.5 + 5
+"""The requests in any second that a cold target may get; the factors are defaults."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and will not run."""
 
@@ -57,9 +64,9 @@
             yield f"TWICE {request}: {runs}"
 
 
-def check_refused_bookings_did_not_run(history: History) -> Iterator[str]:
-    """Yield a line for each booking that was answered as not run, but ran."""
-    for request in _bookings(history):
+def check_refused_requests_did_not_run(history: History) -> Iterator[str]:
+    """Yield a line for each request that was answered as not run, but ran."""
+    for request in history.requests:
         runs = history.runs.get(request.request_id, [])
         if request.status in NOT_RUN_STATUSES and runs:
             yield f"REFUSED {request}: {runs}"
@@ -183,6 +190,31 @@
                 yield f"DRAIN {request}: {run}"
 
 
+def check_evacuations(history: History) -> Iterator[str]:
+    """Yield a line for each request that reached an evacuated target."""
+    for evacuation in history.evacuations:
+        in_force_at = evacuation.written_at + EVACUATE_S
+        for arrival in history.arrivals:
+            if (
+                arrival.zone == evacuation.zone
+                and in_force_at <= arrival.arrived_at < evacuation.removed_at
+            ):
+                yield f"EVACUATED {evacuation}: {arrival}"
+
+
+def check_cold_targets(history: History) -> Iterator[str]:
+    """Yield a line for each cold target that got too many requests in a second."""
+    arrivals = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        if not arrival.misdirected:
+            arrivals[arrival.target].append(arrival.arrived_at)
+    for cold in history.cold_times:
+        times = [t for t in arrivals[cold.target] if cold.known_at <= t < cold.ends_at]
+        most = max((sum(t <= at < t + 1 for at in times) for t in times), default=0)
+        if most > COLD_BOUND:
+            yield f"COLD {most} in a second of {COLD_BOUND:.1f}: {cold}"
+
+
 def _limited_run_times(history: History, limit: RateLimit) -> Iterator[float]:
     """Yield the starts of runs that a gateway knew the limit for.
 
@@ -218,7 +250,7 @@
 
 CHECKS: tuple[Callable[[History], Iterator[str]], ...] = (
     check_bookings_run_at_most_once,
-    check_refused_bookings_did_not_run,
+    check_refused_requests_did_not_run,
     check_runs_match_requests,
     check_successful_answers,
     check_known_routes_are_served,
@@ -227,6 +259,8 @@
     check_deadlines,
     check_rate_limits,
     check_leaving_targets,
+    check_evacuations,
+    check_cold_targets,
 )
 
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 
 from test.platform.store_standin import StoreStandin
-from test.soak.checks import MAX_TARGETS, MIN_COVERAGE, TOP_K
+from test.soak.checks import COLD_PER_S, MAX_TARGETS, MIN_COVERAGE, TOP_K
 from test.soak.gateways import GatewayProcess
-from test.soak.history import Config, History
+from test.soak.history import Config, Evacuation, History
 from test.soak.proxy import Proxy
-from test.soak.targets import Target
+from test.soak.targets import COLD_S, HEALTH_PATH, Target
 
 ZONES = ("zone-a", "zone-b")
 SHARDS = 6
@@ -24,6 +24,8 @@
 """How long the store lists a target that writes no more, in seconds."""
 
 MAX_CONNECTIONS = 60
+PRIORITIES = {"all": 0, "one": 1, "book": 0, "move": 2}
+"""The routes `one` and `book` use the same service."""
 
 
 class SoakFleet:
@@ -44,6 +46,10 @@
         ]
         self.tasks: set[asyncio.Task] = set()
         self.allow_early_reloads = True
+        self.has_priorities = False
+        """Whether versions state the priorities of routes."""
+        self.has_cold_targets = False
+        """Whether new targets are cold, and versions state the rate of cold targets."""
         self.first_revision = 0
         """The store's revision after the start; all copies are of later ones."""
         self._config_revision = 0
@@ -113,6 +119,8 @@
             target = Target(service, zone, work_s, self.history, self.rng)
             await target.start()
             self.targets.append(target)
+            if self.has_cold_targets:
+                target.turn_cold(0.0)
             self._list_target(target)
 
     def _list_target(self, target: Target) -> None:
@@ -182,6 +190,28 @@
         item = self.store.items.get(key)
         return item is not None and item["modRevision"] == revision
 
+    def turn_cold(self, targets: list[Target], learning_s: float) -> None:
+        """Let targets be cold, which their entries and answers state."""
+        for target in targets:
+            target.turn_cold(learning_s)
+            if target.state != "gone":
+                self._list_target(target)
+
+    def evacuate(self, zone: str) -> Evacuation:
+        """Write the evacuation key of a data centre into the store."""
+        self.store.put(f"op/evacuate/{zone}", {})
+        evacuation = Evacuation(zone, self.history.now())
+        self.history.evacuations.append(evacuation)
+        return evacuation
+
+    def end_evacuation(self, evacuation: Evacuation) -> None:
+        """Remove the evacuation key of a data centre, whose targets are cold then."""
+        # Their entries come first, so a gateway that sees the removal knows them.
+        returning = [t for t in self.targets if t.zone == evacuation.zone]
+        self.turn_cold(returning, 0.0)
+        evacuation.removed_at = self.history.now()
+        self.store.delete(f"op/evacuate/{evacuation.zone}")
+
     async def reshard(self) -> None:
         """Start new shards, publish them after a delay, then drain the old ones."""
         old_targets = [
@@ -243,9 +273,19 @@
         ]
         names = ("desk", config.moving_service, *config.shards)
         services = [
-            {"name": name, "healthPath": "/health", "maxConns": MAX_CONNECTIONS}
+            {
+                "name": name,
+                "healthPath": HEALTH_PATH.decode(),
+                "maxConns": MAX_CONNECTIONS,
+            }
             for name in names
         ]
+        if self.has_cold_targets:
+            for service in services:
+                service |= {"coldStartS": COLD_S, "coldPerS": COLD_PER_S}
+        if self.has_priorities:
+            for route in routes:
+                route["priority"] = PRIORITIES[route["name"]]
         return {
             "version": config.version,
             "routes": routes,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -52,6 +52,36 @@
     ended_at: float = float("inf")
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached a target, also one that the target refuses."""
+
+    request_id: str
+    target: str
+    zone: str
+    arrived_at: float
+    misdirected: bool = False
+    """Whether it was meant for another target and is answered with 421."""
+
+
+@attrs.define
+class Evacuation:
+    """The time in which the store held the evacuation key of a data centre."""
+
+    zone: str
+    written_at: float
+    removed_at: float = float("inf")
+
+
+@attrs.frozen
+class ColdTime:
+    """A time in which a target is cold and all gateways can know it."""
+
+    target: str
+    known_at: float
+    ends_at: float
+
+
 @attrs.define
 class CallerRequest:
     """One request of a caller and its result.
@@ -98,6 +128,9 @@
     answers: dict[str, Answer] = attrs.field(factory=dict)
     ended_targets: set[str] = attrs.field(factory=set)
     rate_limits: list[RateLimit] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
+    cold_times: list[ColdTime] = attrs.field(factory=list)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
