--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,104 +1,67 @@
-"""The store moves, and the settings files of all gateways name its new address."""
+"""Gateways start with seeds that are down; their settings then name live ones."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import sys
-import time
 from pathlib import Path
 
-from case import FIRST_VERSION, SERVICE, Fleet, Record, new_request_id, run_case
-from gateways import STABILITY_WINDOW_S, Gateway
+from case import Fleet, Record, run_case
+from gateways import STABILITY_WINDOW_S
+from poison import CRASHES, POISON, Poison, crashes, judge
 
-GATEWAYS = 3
-LEAFS = 3
-NEW_SERVICE = "wren12"
+GATEWAYS = 4
+LEAFS = 8
 ROUTE = {"prefix": "/timi402/", "maxAttempts": 2}
-TARGET = "/timi402/2f"
-CONFIG_APPLY_S = 3.0
-"""The rule's bound, the same as in the settings."""
+SEED_LAG_S = 3.0
+"""The time in which the settings name live seeds again, as in the settings."""
 
-MARGIN_S = 0.5
-BOTH_STORES_S = 6.0
-"""How long the old store goes on serving after the settings have changed."""
+JOIN_S = 15.0
+"""How long the gateways have to find each other by the live seeds."""
 
-REQUESTS = 20
-"""Sent to each gateway after the bound."""
+PAUSE_S = 1.5
+"""Between two attempts of the caller whose request crashes leafs."""
 
 
 async def play(folder: Path, record: Record, trouble: bool) -> bool:
     """Return whether the rule held."""
-    fleet = Fleet(folder, GATEWAYS, LEAFS, (SERVICE, NEW_SERVICE))
+    fleet = Fleet(folder, GATEWAYS, LEAFS)
     try:
-        await fleet.start(ROUTE | {"service": SERVICE})
-        record.line("all gateways are ready")
-        await _send_all(fleet, record)
-        await asyncio.sleep(STABILITY_WINDOW_S)
+        await fleet.start(ROUTE, fleet.dead_seeds if trouble else None)
+        record.line(f"all gateways are ready, seeds down: {trouble}")
+        for leaf in fleet.leafs:
+            leaf.poison_prefix = POISON
+        await asyncio.sleep(SEED_LAG_S)
         if trouble:
-            await _move_store(fleet, record)
-        else:
-            await asyncio.sleep(BOTH_STORES_S)
-        await asyncio.sleep(STABILITY_WINDOW_S + MARGIN_S)
-        return await _check_new_version(fleet, record)
+            _name_live_seeds(fleet, record)
+        await asyncio.sleep(JOIN_S)
+        poison = Poison(fleet, record)
+        await _crash_three(fleet, poison)
+        for gateway in fleet.gateways[1:]:
+            for _ in range(2):
+                await poison.send(gateway)
+                await asyncio.sleep(PAUSE_S)
+        return judge(fleet, poison, record)
     finally:
         await fleet.close()
 
 
-async def _move_store(fleet: Fleet, record: Record) -> None:
-    """Change the settings, tell the gateways, and end the old store later."""
-    old = await fleet.move_store()
+def _name_live_seeds(fleet: Fleet, record: Record) -> None:
     for gateway in fleet.gateways:
-        gateway.write_settings(fleet.live_seeds, fleet.store.address)
+        gateway.write_settings(fleet.live_seeds)
         gateway.reload()
-        record.line(f"{gateway.name}: settings changed, SIGHUP sent")
-    await asyncio.sleep(BOTH_STORES_S)
-    await old.stop()
-    record.line(f"the store is now at {fleet.store.address} only")
-
-
-async def _check_new_version(fleet: Fleet, record: Record) -> bool:
-    """Publish a version and return whether all gateways apply it in time."""
-    version = FIRST_VERSION + 6
-    fleet.publish(version, ROUTE | {"service": NEW_SERVICE})
-    acked_at = time.monotonic()
-    record.line(f"version {version} is acknowledged: the route uses {NEW_SERVICE}")
-    await asyncio.sleep(CONFIG_APPLY_S + MARGIN_S)
-    late_by_s = time.monotonic() - acked_at - CONFIG_APPLY_S
-    record.line(f"requests from here on are {late_by_s:.1f} s past the bound")
-    runs = await _send_all(fleet, record)
-    return runs[SERVICE] == 0
-
-
-async def _send_all(fleet: Fleet, record: Record) -> collections.Counter[str]:
-    """Send requests to each gateway; return how many each service has run."""
-    total: collections.Counter[str] = collections.Counter()
-    for gateway in fleet.gateways:
-        runs = await _send_to(fleet, gateway, record)
-        record.line(f"{gateway.name}: {REQUESTS} requests, run by {dict(runs)}")
-        total += runs
-    return total
-
-
-async def _send_to(
-    fleet: Fleet, gateway: Gateway, record: Record
-) -> collections.Counter[str]:
-    runs: collections.Counter[str] = collections.Counter()
-    for _ in range(REQUESTS):
-        request_id = new_request_id()
-        answer = await gateway.send(TARGET, request_id)
-        services = {
-            leaf.service
-            for leaf in fleet.leafs
-            for arrival in leaf.arrivals
-            if arrival.request_id == request_id
-        }
-        record.line(
-            f"request {request_id} at {gateway.name}: status {answer.status}, "
-            f"reached {', '.join(sorted(services)) or 'no leaf'}"
-        )
-        runs.update(services)
-    return runs
+        record.line(f"{gateway.name}: settings name live seeds, SIGHUP sent")
+
+
+async def _crash_three(fleet: Fleet, poison: Poison) -> None:
+    """Send attempts at one gateway until three leafs have crashed."""
+    for _ in range(CRASHES):
+        if len(crashes(fleet)) < CRASHES:
+            await poison.send(fleet.gateways[0])
+            await asyncio.sleep(PAUSE_S)
+    if len(crashes(fleet)) < CRASHES:
+        raise RuntimeError("fewer than three leafs have crashed")
+    await asyncio.sleep(STABILITY_WINDOW_S)
 
 
 if __name__ == "__main__":
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Guards against: gateways keep to the old store after their settings name another.
+# Guards against: gateways never use seeds that come with changed settings.
 cd "$(dirname "$0")" || exit 2
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=../stand_ins_2 exec python3 play.py
--- a/review/stand_ins_2/gateways.py
+++ b/review/stand_ins_2/gateways.py
@@ -95,6 +95,11 @@
         """Return the address for other gateways as IP:PORT."""
         return f"{self.ip}:{self._ports['control']}"
 
+    @property
+    def front_address(self) -> tuple[str, int]:
+        """Return the address for callers."""
+        return self.ip, self._ports["front"]
+
     def write_settings(self, seeds: list[str], store: str = "") -> None:
         """Write the settings file, as the platform does; `store` replaces its address.
 
@@ -175,7 +180,7 @@
             f"Request-Id: {request_id}",
             f"Request-Deadline-Ms: {DEADLINE_MS}",
         ]
-        return await send_request((self.ip, self._ports["front"]), head)
+        return await send_request(self.front_address, head)
 
 
 def _run_command() -> list[str]:
--- a/review/stand_ins_2/http_server.py
+++ b/review/stand_ins_2/http_server.py
@@ -29,6 +29,8 @@
     status: int
     fields: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    endless_block: bytes = b""
+    """Chunks that are sent until the caller closes, if there are any."""
 
 
 Handler = Callable[[Request], Awaitable[Reply | None]]
@@ -77,6 +79,9 @@
                     break
                 writer.write(_encode_reply(reply))
                 await writer.drain()
+                while reply.endless_block:
+                    writer.write(reply.endless_block)
+                    await writer.drain()
         except (OSError, EOFError, asyncio.CancelledError):
             # The peer has left, or the server was stopped.
             pass
@@ -115,7 +120,10 @@
 def _encode_reply(reply: Reply) -> bytes:
     lines = [f"HTTP/1.1 {reply.status} {PHRASES.get(reply.status, '-')}"]
     lines += [f"{name}: {value}" for name, value in reply.fields]
-    lines += [f"Content-Length: {len(reply.body)}", "", ""]
+    if reply.endless_block:
+        lines += ["Transfer-Encoding: chunked", "", ""]
+    else:
+        lines += [f"Content-Length: {len(reply.body)}", "", ""]
     return "\r\n".join(lines).encode() + reply.body
 
 
