--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -163,7 +164,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             held = asyncio.run(_play_bounded(play, Path(folder), record, trouble))
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.line(f"the case could not run: {exc!r}")
         print(f"not run: {exc!r}", file=sys.stderr)
         return NOT_RUN
@@ -176,5 +177,8 @@
 async def _play_bounded(
     play: Play, folder: Path, record: Record, trouble: bool
 ) -> bool:
+    # A case that is told to stop still ends what it has started.
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(MAX_RUN_S):
         return await play(folder, record, trouble)
